--- /dev/null
+++ b/internal/archtest/files_test.go
@@ -0,0 +1,15 @@
+package archtest
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func readFile(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return data
+}
--- /dev/null
+++ b/internal/decide/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing builds the immutable snapshot by which traffic finds the owner of a key and its primary.
+package routing
