--- /dev/null
+++ b/internal/decide/ownership/view.go
@@ -0,0 +1,78 @@
+// Package ownership replays the control stream of the platform's log into the state of who owns what: owners and epochs of
+// partitions, moves, the roster of instances, the states of zones and the shares of rates. Replicas that replay the same
+// records reach the same state.
+package ownership
+
+import "github.com/pollenpier/pollenpier/internal/entity"
+
+// Owner is the assignment of one partition.
+type Owner struct {
+	// Backend owns the partition from Epoch on. Empty if nobody does.
+	Backend entity.BackendID
+	Epoch   entity.Epoch
+	// To is the next owner while a move is under way, else empty. A moving partition gets no new work.
+	To entity.BackendID
+}
+
+// Moving reports whether the partition is between a Move and its Release.
+func (o Owner) Moving() bool { return o.To != "" }
+
+// ServiceView is the assignment of one service.
+type ServiceView struct {
+	// Count is the number of base partitions, a power of two.
+	Count uint32
+	// Hot maps named hot keys to virtual partitions, which are numbered from Count on.
+	Hot map[entity.KeyHash]entity.Partition
+	// Owners is indexed by partition: first the base partitions, then the virtual ones.
+	Owners []Owner
+	// Version is the offset of the last record that changed the service's assignment.
+	Version entity.Epoch
+}
+
+// Locate returns the partition of a key.
+func (v *ServiceView) Locate(h entity.KeyHash) entity.Partition {
+	if p, ok := v.Hot[h]; ok {
+		return p
+	}
+	return entity.PartitionOf(h, v.Count)
+}
+
+// Member is an instance in the roster.
+type Member struct {
+	ID      entity.InstanceID
+	Zone    entity.Zone
+	Address string // peer address, host:port
+	Group   uint32 // lease group within the zone
+}
+
+// GroupKey identifies a lease group.
+type GroupKey struct {
+	Zone  entity.Zone
+	Group uint32
+}
+
+// View is an immutable copy of the replayed state for readers outside the control service.
+type View struct {
+	// Offset is the offset of the next record to apply.
+	Offset   entity.Offset
+	Services map[entity.ServiceName]*ServiceView
+	// Members are ordered by the offset of their Join.
+	Members []Member
+	// GroupVersions is the offset of the last roster change of each lease group.
+	GroupVersions map[GroupKey]uint64
+	// LostZones maps zones declared lost to the offset of their ZoneLost record.
+	LostZones map[entity.Zone]entity.Offset
+	// ZoneShares maps customers to the share of each zone in thousandths, which sum to 1000. Absent means even shares.
+	ZoneShares map[entity.CustomerID]map[entity.Zone]uint32
+}
+
+// Group returns the members of a lease group in roster order.
+func (v *View) Group(key GroupKey) []Member {
+	var members []Member
+	for _, m := range v.Members {
+		if m.Zone == key.Zone && m.Group == key.Group {
+			members = append(members, m)
+		}
+	}
+	return members
+}
