--- a/operator/config.go
+++ b/operator/config.go
@@ -6,9 +6,9 @@
 
 // Config is a whole configuration. Names are unique within their kind; back end names are unique in the whole configuration.
 type Config struct {
-	Zones     []Zone     `yaml:"zones"`
-	Customers []Customer `yaml:"customers"`
-	Services  []Service  `yaml:"services"`
+	Zones     []Zone     `yaml:"zones" json:"zones"`
+	Customers []Customer `yaml:"customers" json:"customers"`
+	Services  []Service  `yaml:"services" json:"services"`
 }
 
 // ZoneState says whether a zone takes work.
@@ -27,35 +27,35 @@
 
 // Zone is an availability zone.
 type Zone struct {
-	Name  string    `yaml:"name"`
-	State ZoneState `yaml:"state,omitempty"` // default active
+	Name  string    `yaml:"name" json:"name"`
+	State ZoneState `yaml:"state,omitempty" json:"state,omitempty"` // default active
 }
 
 // Customer is a tenant with its keys and rate.
 type Customer struct {
-	Name string `yaml:"name"`
+	Name string `yaml:"name" json:"name"`
 	// KeyHashes are the SHA-256 hashes of the customer's keys, 64 hexadecimal digits each. Removing one withdraws the key.
-	KeyHashes []string `yaml:"key_hashes"`
+	KeyHashes []string `yaml:"key_hashes" json:"key_hashes"`
 	// Rate is the sustained rate over all instances, in requests per second. No default.
-	Rate float64 `yaml:"rate"`
+	Rate float64 `yaml:"rate" json:"rate"`
 	// Burst is the number of requests that may come at once after idleness, over all instances. No default.
-	Burst int `yaml:"burst"`
+	Burst int `yaml:"burst" json:"burst"`
 }
 
 // Service is a service behind the router, whose back ends own its partitions.
 type Service struct {
-	Name string `yaml:"name"`
+	Name string `yaml:"name" json:"name"`
 	// Partitions is the number of partitions of the key space, a power of two. Default 256. It cannot change later.
-	Partitions uint32 `yaml:"partitions,omitempty"`
+	Partitions uint32 `yaml:"partitions,omitempty" json:"partitions,omitempty"`
 	// MaxRun caps the time that a request may run on a back end. Default 10s.
-	MaxRun time.Duration `yaml:"max_run,omitempty"`
+	MaxRun time.Duration `yaml:"max_run,omitempty" json:"max_run,omitempty"`
 	// CutoffHold is how long a zone that is cut off from the log and from most zones keeps serving its keys, and how long
 	// others wait before they take them over. Default 30s.
-	CutoffHold time.Duration `yaml:"cutoff_hold,omitempty"`
+	CutoffHold time.Duration `yaml:"cutoff_hold,omitempty" json:"cutoff_hold,omitempty"`
 	// IdempotencyWindow is how long an idempotency key is remembered. Default 10m.
-	IdempotencyWindow time.Duration `yaml:"idempotency_window,omitempty"`
-	Routes            []Route       `yaml:"routes"`
-	Backends          []Backend     `yaml:"backends"`
+	IdempotencyWindow time.Duration `yaml:"idempotency_window,omitempty" json:"idempotency_window,omitempty"`
+	Routes            []Route       `yaml:"routes" json:"routes"`
+	Backends          []Backend     `yaml:"backends" json:"backends"`
 }
 
 // RouteKind says whether a request may run more than once.
@@ -83,13 +83,13 @@
 // Route is one kind of request of a service.
 type Route struct {
 	// Path is a path prefix inside the service, which starts with a slash and matches whole segments.
-	Path string `yaml:"path"`
+	Path string `yaml:"path" json:"path"`
 	// Methods are the HTTP methods in capitals. Default GET.
-	Methods []string    `yaml:"methods,omitempty"`
-	Kind    RouteKind   `yaml:"kind"`
-	Access  RouteAccess `yaml:"access"`
+	Methods []string    `yaml:"methods,omitempty" json:"methods,omitempty"`
+	Kind    RouteKind   `yaml:"kind" json:"kind"`
+	Access  RouteAccess `yaml:"access" json:"access"`
 	// MaxBody is the largest request body in bytes. Default 1048576.
-	MaxBody int64 `yaml:"max_body,omitempty"`
+	MaxBody int64 `yaml:"max_body,omitempty" json:"max_body,omitempty"`
 }
 
 // BackendState says whether a back end takes work.
@@ -105,15 +105,15 @@
 
 // Backend is a server (endpoint) of a service.
 type Backend struct {
-	Name string `yaml:"name"`
-	Zone string `yaml:"zone"`
+	Name string `yaml:"name" json:"name"`
+	Zone string `yaml:"zone" json:"zone"`
 	// Address is an IP address and port.
-	Address string `yaml:"address"`
+	Address string `yaml:"address" json:"address"`
 	// Slots is the number of requests that the back end runs at once when warm. No default.
-	Slots int `yaml:"slots"`
+	Slots int `yaml:"slots" json:"slots"`
 	// MaxConnections is the number of connections that the back end accepts. Default 130.
-	MaxConnections int `yaml:"max_connections,omitempty"`
+	MaxConnections int `yaml:"max_connections,omitempty" json:"max_connections,omitempty"`
 	// ChecksTokens says whether the back end refuses requests with an outdated fencing token. Default false.
-	ChecksTokens bool         `yaml:"checks_tokens,omitempty"`
-	State        BackendState `yaml:"state,omitempty"` // default active
+	ChecksTokens bool         `yaml:"checks_tokens,omitempty" json:"checks_tokens,omitempty"`
+	State        BackendState `yaml:"state,omitempty" json:"state,omitempty"` // default active
 }
--- /dev/null
+++ b/operator/diff.go
@@ -0,0 +1,217 @@
+package operator
+
+import (
+	"reflect"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// Change is the difference between two configurations by entity. Entities under Set replace the one of the same name or
+// are added; all their settings are complete.
+type Change struct {
+	SetZones        []Zone          `json:"set_zones,omitempty"`
+	RemoveZones     []string        `json:"remove_zones,omitempty"`
+	SetCustomers    []Customer      `json:"set_customers,omitempty"`
+	RemoveCustomers []string        `json:"remove_customers,omitempty"`
+	SetServices     []ServiceChange `json:"set_services,omitempty"`
+	RemoveServices  []string        `json:"remove_services,omitempty"`
+	SetBackends     []BackendChange `json:"set_backends,omitempty"`
+	RemoveBackends  []string        `json:"remove_backends,omitempty"`
+}
+
+// ServiceChange holds the settings of a service without its back ends, which change one by one.
+type ServiceChange struct {
+	Service
+	// Backends is always nil. It keeps the back ends of the embedded service out of the encoding.
+	Backends *struct{} `json:"backends,omitempty"`
+}
+
+// BackendChange is a back end and the service to which it belongs.
+type BackendChange struct {
+	Service string  `json:"service"`
+	Backend Backend `json:"backend"`
+}
+
+// Empty reports whether the change changes nothing.
+func (c *Change) Empty() bool {
+	sets := len(c.SetZones) + len(c.SetCustomers) + len(c.SetServices) + len(c.SetBackends)
+	removals := len(c.RemoveZones) + len(c.RemoveCustomers) + len(c.RemoveServices) + len(c.RemoveBackends)
+	return sets+removals == 0
+}
+
+// Diff returns the change that turns the old configuration into the new one. Both are completed with the defaults first.
+// Orders of entities do not count.
+func Diff(old, updated *Config) Change {
+	o, u := old.WithDefaults(), updated.WithDefaults()
+	var c Change
+	c.SetZones, c.RemoveZones = diffList(o.Zones, u.Zones, Zone.key)
+	c.SetCustomers, c.RemoveCustomers = diffList(o.Customers, u.Customers, Customer.key)
+	c.SetServices, c.RemoveServices = diffList(serviceSettings(o), serviceSettings(u), ServiceChange.key)
+	c.SetBackends, c.RemoveBackends = diffList(allBackends(o), allBackends(u), BackendChange.key)
+	return c
+}
+
+// Equal reports whether two configurations mean the same.
+func Equal(a, b *Config) bool {
+	c := Diff(a, b)
+	return c.Empty()
+}
+
+func (z Zone) key() string          { return z.Name }
+func (c Customer) key() string      { return c.Name }
+func (s ServiceChange) key() string { return s.Name }
+func (b BackendChange) key() string { return b.Backend.Name }
+
+// diffList returns the entities that are new or different and the names of those that are gone.
+func diffList[T any](old, updated []T, key func(T) string) (set []T, removed []string) {
+	before := make(map[string]T, len(old))
+	for _, e := range old {
+		before[key(e)] = e
+	}
+	for _, e := range updated {
+		former, ok := before[key(e)]
+		if !ok || !reflect.DeepEqual(former, e) {
+			set = append(set, e)
+		}
+		delete(before, key(e))
+	}
+	for _, e := range old {
+		if _, gone := before[key(e)]; gone {
+			removed = append(removed, key(e))
+		}
+	}
+	return set, removed
+}
+
+func serviceSettings(c *Config) []ServiceChange {
+	settings := make([]ServiceChange, len(c.Services))
+	for i, s := range c.Services {
+		s.Backends = nil
+		settings[i] = ServiceChange{Service: s}
+	}
+	return settings
+}
+
+func allBackends(c *Config) []BackendChange {
+	var all []BackendChange
+	for _, s := range c.Services {
+		for _, b := range s.Backends {
+			all = append(all, BackendChange{Service: s.Name, Backend: b})
+		}
+	}
+	return all
+}
+
+// Apply returns the configuration that results from a change, completed with the defaults and validated as a whole. The
+// old configuration stays as it is. The error is ErrChange if the change does not fit the old configuration, or ErrInvalid
+// if the result breaks a rule.
+//
+// A change must not alter the partitions of a service, or the service, zone or address of a back end. Either would let two
+// servers hold one key for a moment: the owner of a key follows from the partitions, and a back end's name stands for one
+// server that holds a session. A server that moves gets a new name.
+func Apply(old *Config, change Change) (*Config, error) {
+	c := old.WithDefaults()
+	if err := fixed(c, &change); err != nil {
+		return nil, err
+	}
+	var err error
+	if c.Zones, err = applyList(c.Zones, change.SetZones, change.RemoveZones, Zone.key); err != nil {
+		return nil, errors.Wrap(err, "zones")
+	}
+	c.Customers, err = applyList(c.Customers, change.SetCustomers, change.RemoveCustomers, Customer.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "customers")
+	}
+	services, err := applyList(serviceSettings(c), change.SetServices, change.RemoveServices, ServiceChange.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "services")
+	}
+	backends, err := applyList(allBackends(c), change.SetBackends, change.RemoveBackends, BackendChange.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "back ends")
+	}
+	if c.Services, err = joinServices(services, backends); err != nil {
+		return nil, err
+	}
+	c = c.WithDefaults()
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// fixed refuses changes of settings that cannot change.
+func fixed(old *Config, change *Change) error {
+	partitions := make(map[string]uint32, len(old.Services))
+	for _, s := range old.Services {
+		partitions[s.Name] = s.Partitions
+	}
+	for _, s := range change.SetServices {
+		count, ok := partitions[s.Name]
+		if ok && s.withDefaults().Partitions != count {
+			return errors.Wrapf(ErrChange, "service %q: partitions cannot change from %d", s.Name, count)
+		}
+	}
+	backends := make(map[string]BackendChange)
+	for _, b := range allBackends(old) {
+		backends[b.Backend.Name] = b
+	}
+	for _, b := range change.SetBackends {
+		former, ok := backends[b.Backend.Name]
+		if ok && (former.Service != b.Service || former.Backend.Zone != b.Backend.Zone ||
+			former.Backend.Address != b.Backend.Address) {
+			return errors.Wrapf(ErrChange, "back end %q: service, zone and address cannot change; "+
+				"add the server under a new name", b.Backend.Name)
+		}
+	}
+	return nil
+}
+
+// applyList replaces, adds and removes entities. The order of those that stay is kept.
+func applyList[T any](old, set []T, removed []string, key func(T) string) ([]T, error) {
+	list := slices.Clone(old)
+	index := make(map[string]int, len(list))
+	for i, e := range list {
+		index[key(e)] = i
+	}
+	touched := make(map[string]bool, len(set)+len(removed))
+	gone := make(map[string]bool, len(removed))
+	for _, name := range removed {
+		if _, ok := index[name]; !ok || touched[name] {
+			return nil, errors.Wrapf(ErrChange, "%q cannot be removed: it does not exist or is changed twice", name)
+		}
+		touched[name], gone[name] = true, true
+	}
+	for _, e := range set {
+		if touched[key(e)] {
+			return nil, errors.Wrapf(ErrChange, "%q is changed twice", key(e))
+		}
+		touched[key(e)] = true
+		if i, ok := index[key(e)]; ok {
+			list[i] = e
+			continue
+		}
+		list = append(list, e)
+	}
+	return slices.DeleteFunc(list, func(e T) bool { return gone[key(e)] }), nil
+}
+
+// joinServices puts the back ends under their services.
+func joinServices(settings []ServiceChange, backends []BackendChange) ([]Service, error) {
+	services := make([]Service, len(settings))
+	index := make(map[string]int, len(settings))
+	for i, s := range settings {
+		services[i] = s.Service
+		services[i].Backends = nil
+		index[s.Name] = i
+	}
+	for _, b := range backends {
+		i, ok := index[b.Service]
+		if !ok {
+			return nil, errors.Wrapf(ErrChange, "back end %q: service %q does not exist", b.Backend.Name, b.Service)
+		}
+		services[i].Backends = append(services[i].Backends, b.Backend)
+	}
+	return services, nil
+}
--- /dev/null
+++ b/operator/errors.go
@@ -0,0 +1,49 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Errors of configurations and changes.
+var (
+	// ErrInvalid means that a configuration breaks a rule. The error is an *InvalidError.
+	ErrInvalid = errors.New("invalid configuration")
+	// ErrChange means that a change does not fit the configuration to which it was applied.
+	ErrChange = errors.New("change does not apply")
+)
+
+// Problem is one broken rule.
+type Problem struct {
+	// Path names the setting, such as services[0].backends[2].zone. The indices count from 0 in the order of the lists.
+	Path string
+	// Line is the line in the YAML document, from 1. Zero if the configuration was not read from YAML.
+	Line int
+	// Text says what is wrong.
+	Text string
+}
+
+// String formats the problem with its line and path.
+func (p Problem) String() string {
+	if p.Line > 0 {
+		return fmt.Sprintf("line %d: %s: %s", p.Line, p.Path, p.Text)
+	}
+	return p.Path + ": " + p.Text
+}
+
+// InvalidError lists all problems of a configuration.
+type InvalidError struct{ Problems []Problem }
+
+// Error lists the problems, separated by semicolons.
+func (e *InvalidError) Error() string {
+	texts := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		texts[i] = p.String()
+	}
+	return ErrInvalid.Error() + ": " + strings.Join(texts, "; ")
+}
+
+// Is reports that the error is ErrInvalid.
+func (e *InvalidError) Is(target error) bool { return target == ErrInvalid }
--- /dev/null
+++ b/operator/validate.go
@@ -0,0 +1,258 @@
+package operator
+
+import (
+	"fmt"
+	"math"
+	"math/bits"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits of a configuration.
+const (
+	// MaxPartitions is the largest number of partitions of a service. It gives 10,000 back ends six partitions each.
+	MaxPartitions uint32 = 1 << 16
+	// MaxRate is the largest rate of a customer in requests per second.
+	MaxRate = 1e9
+	// MaxBurst is the largest burst of a customer in requests.
+	MaxBurst = 1_000_000_000
+	// MaxSlots is the largest number of requests that one back end runs at once, and of its connections.
+	MaxSlots = 100_000
+	// MaxKeys is the largest number of keys of one customer.
+	MaxKeys = 64
+	// MaxBodyLimit is the largest request body of a route in bytes.
+	MaxBodyLimit int64 = 1 << 30
+)
+
+// Limits of durations. A hold shorter than a second would end during an ordinary failover, which takes about 1 s.
+const (
+	minMaxRun, maxMaxRun                       = time.Millisecond, time.Hour
+	minCutoffHold, maxCutoffHold               = time.Second, time.Hour
+	minIdempotencyWindow, maxIdempotencyWindow = time.Second, 24 * time.Hour
+)
+
+// namePattern keeps names usable as a path segment, in lease names and in logs.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// hashPattern is a SHA-256 hash as HashKey prints it. Upper case is converted by WithDefaults.
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// Validate checks the configuration as a whole, as it is after WithDefaults. The error is an *InvalidError that lists
+// everything that is wrong.
+func (c *Config) Validate() error {
+	v := &validation{
+		zones:     make(map[string]bool, len(c.Zones)),
+		hashes:    map[string]bool{},
+		backends:  map[string]bool{},
+		addresses: map[netip.AddrPort]bool{},
+	}
+	v.checkZones(c.Zones)
+	v.checkCustomers(c.Customers)
+	v.checkServices(c.Services)
+	if len(v.problems) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: v.problems}
+}
+
+// validation collects the problems and the names seen so far.
+type validation struct {
+	problems  []Problem
+	zones     map[string]bool
+	hashes    map[string]bool
+	backends  map[string]bool
+	addresses map[netip.AddrPort]bool
+}
+
+// field is the path of an entity or a list, formatted only when a problem is found.
+type field struct {
+	parent *field
+	name   string
+	index  int // -1 if the field is not an element of a list
+}
+
+func element(parent *field, name string, index int) *field {
+	return &field{parent: parent, name: name, index: index}
+}
+
+func (f *field) String() string {
+	s := f.name
+	if f.index >= 0 {
+		s = fmt.Sprintf("%s[%d]", f.name, f.index)
+	}
+	if f.parent == nil {
+		return s
+	}
+	return f.parent.String() + "." + s
+}
+
+func (v *validation) refuse(at *field, name, format string, args ...any) {
+	path := at.String()
+	if name != "" {
+		path += "." + name
+	}
+	v.problems = append(v.problems, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+// name checks the form of a name and that it is new in its kind.
+func (v *validation) name(at *field, kind, name string, seen map[string]bool) {
+	switch {
+	case name == "":
+		v.refuse(at, "name", "is missing")
+	case !namePattern.MatchString(name):
+		v.refuse(at, "name", "must be 1 to 63 letters, digits, dots, dashes or underscores and begin with a letter or digit")
+	case seen[name]:
+		v.refuse(at, "name", "%s %q is defined twice", kind, name)
+	}
+	seen[name] = true
+}
+
+func (v *validation) between(at *field, name string, value, low, high time.Duration) {
+	if value < low || value > high {
+		v.refuse(at, name, "must be between %s and %s, is %s", low, high, value)
+	}
+}
+
+func (v *validation) count(at *field, name string, value, high int64) {
+	if value < 1 || value > high {
+		v.refuse(at, name, "must be between 1 and %d, is %d", high, value)
+	}
+}
+
+func (v *validation) checkZones(zones []Zone) {
+	for i, z := range zones {
+		at := element(nil, "zones", i)
+		v.name(at, "zone", z.Name, v.zones)
+		if !slices.Contains([]ZoneState{ZoneActive, ZoneOut, ZoneLost}, z.State) {
+			v.refuse(at, "state", "must be %s, %s or %s", ZoneActive, ZoneOut, ZoneLost)
+		}
+	}
+}
+
+func (v *validation) checkCustomers(customers []Customer) {
+	seen := make(map[string]bool, len(customers))
+	for i := range customers {
+		c := &customers[i]
+		at := element(nil, "customers", i)
+		v.name(at, "customer", c.Name, seen)
+		if math.IsNaN(c.Rate) || c.Rate <= 0 || c.Rate > MaxRate {
+			v.refuse(at, "rate", "must be above 0 and at most %g requests per second, is %g", MaxRate, c.Rate)
+		}
+		v.count(at, "burst", int64(c.Burst), MaxBurst)
+		v.checkHashes(at, c.KeyHashes)
+	}
+}
+
+// checkHashes never shows a value: a malformed hash may be the key itself, put there by mistake.
+func (v *validation) checkHashes(at *field, hashes []string) {
+	if len(hashes) > MaxKeys {
+		v.refuse(at, "key_hashes", "at most %d keys are allowed, has %d", MaxKeys, len(hashes))
+	}
+	for i, h := range hashes {
+		item := element(at, "key_hashes", i)
+		switch {
+		case !hashPattern.MatchString(h):
+			v.refuse(item, "", "must be a SHA-256 hash of 64 hexadecimal digits")
+		case v.hashes[h]:
+			v.refuse(item, "", "the same key is given twice")
+		}
+		v.hashes[h] = true
+	}
+}
+
+func (v *validation) checkServices(services []Service) {
+	seen := make(map[string]bool, len(services))
+	for i := range services {
+		s := &services[i]
+		at := element(nil, "services", i)
+		v.name(at, "service", s.Name, seen)
+		v.checkService(at, s)
+		v.checkRoutes(at, s.Routes)
+		for j := range s.Backends {
+			v.checkBackend(element(at, "backends", j), &s.Backends[j])
+		}
+	}
+}
+
+func (v *validation) checkService(at *field, s *Service) {
+	if bits.OnesCount32(s.Partitions) != 1 || s.Partitions > MaxPartitions {
+		v.refuse(at, "partitions", "must be a power of two of at most %d, is %d", MaxPartitions, s.Partitions)
+	}
+	v.between(at, "max_run", s.MaxRun, minMaxRun, maxMaxRun)
+	v.between(at, "cutoff_hold", s.CutoffHold, minCutoffHold, maxCutoffHold)
+	v.between(at, "idempotency_window", s.IdempotencyWindow, minIdempotencyWindow, maxIdempotencyWindow)
+	if s.IdempotencyWindow < s.MaxRun {
+		v.refuse(at, "idempotency_window", "must be at least max_run, which is %s", s.MaxRun)
+	}
+}
+
+func (v *validation) checkRoutes(service *field, routes []Route) {
+	if len(routes) == 0 {
+		v.refuse(service, "routes", "at least one route is needed")
+	}
+	seen := map[string]bool{}
+	for i := range routes {
+		r := &routes[i]
+		at := element(service, "routes", i)
+		if !cleanPath(r.Path) {
+			v.refuse(at, "path", "must begin with a slash and have no empty, . or .. segment, query or trailing slash")
+		}
+		for j, m := range r.Methods {
+			if !slices.Contains(knownMethods, m) {
+				v.refuse(element(at, "methods", j), "", "must be one of %s", strings.Join(knownMethods, ", "))
+			}
+			if seen[m+" "+r.Path] {
+				v.refuse(element(at, "methods", j), "", "%s %s is routed twice", m, r.Path)
+			}
+			seen[m+" "+r.Path] = true
+		}
+		if r.Kind != RouteIdempotent && r.Kind != RouteAtMostOnce {
+			v.refuse(at, "kind", "must be %s or %s", RouteIdempotent, RouteAtMostOnce)
+		}
+		if r.Access != AccessOpen && r.Access != AccessInternal {
+			v.refuse(at, "access", "must be %s or %s", AccessOpen, AccessInternal)
+		}
+		v.count(at, "max_body", r.MaxBody, MaxBodyLimit)
+	}
+}
+
+// cleanPath reports whether a route's path is the root or consists of whole, plain segments.
+func cleanPath(path string) bool {
+	if path == "/" {
+		return true
+	}
+	if !strings.HasPrefix(path, "/") || strings.ContainsAny(path, "?#%\\ \t\r\n") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path[1:], "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *validation) checkBackend(at *field, b *Backend) {
+	v.name(at, "back end", b.Name, v.backends)
+	if !v.zones[b.Zone] {
+		v.refuse(at, "zone", "zone %q is not defined", b.Zone)
+	}
+	address, err := netip.ParseAddrPort(b.Address)
+	switch {
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		v.refuse(at, "address", "must be an IP address and port of a server, such as 192.0.2.7:8080")
+	case v.addresses[address]:
+		v.refuse(at, "address", "%s belongs to another back end", address)
+	}
+	v.addresses[address] = true
+	v.count(at, "slots", int64(b.Slots), MaxSlots)
+	v.count(at, "max_connections", int64(b.MaxConnections), MaxSlots)
+	if b.State != BackendActive && b.State != BackendDrain {
+		v.refuse(at, "state", "must be %s or %s", BackendActive, BackendDrain)
+	}
+}
