--- /dev/null
+++ b/internal/configlog/record.go
@@ -0,0 +1,144 @@
+// Package configlog holds the records of the stream config, their replay into the configuration in force, and the
+// publisher by which operators append them.
+package configlog
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// maxChunk is the size of a checkpoint chunk's data in bytes. In base64 it stays below 64 KiB with the record around it.
+const maxChunk = 47 << 10
+
+// maxChunks bounds the chunks of a checkpoint, and with it the memory that a replay needs for one: 12 MiB.
+const maxChunks = 256
+
+// ErrMalformed means that a record of the stream cannot be decoded.
+var ErrMalformed = errors.New("malformed configuration record")
+
+// Record is one record of the stream config. Exactly one of Change and Chunk is set.
+type Record struct {
+	// Writer and Sequence identify the record. They travel beside the payload.
+	Writer   string `json:"-"`
+	Sequence uint64 `json:"-"`
+	// Author names the operator, or the instance that wrote a checkpoint.
+	Author string        `json:"author"`
+	Change *ChangeRecord `json:"change,omitempty"`
+	Chunk  *Chunk        `json:"chunk,omitempty"`
+}
+
+// ChangeRecord is a change of the configuration with version Base.
+type ChangeRecord struct {
+	Base   uint64          `json:"base"`
+	Change operator.Change `json:"change"`
+}
+
+// Chunk is a part of a checkpoint: the encoded configuration with version Version, which was in force after its writer had
+// applied all records before Next.
+type Chunk struct {
+	Version uint64        `json:"version"`
+	Next    entity.Offset `json:"next"`
+	Index   int           `json:"index"`
+	Count   int           `json:"count"`
+	Data    []byte        `json:"data"`
+}
+
+// Encode returns the payload of a record.
+func Encode(r Record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration record")
+	}
+	return data, nil
+}
+
+// Decode returns the record with the given identity. The error is ErrMalformed.
+func Decode(writer string, sequence uint64, payload []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(payload, &r); err != nil {
+		return Record{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if (r.Change == nil) == (r.Chunk == nil) {
+		return Record{}, errors.Wrap(ErrMalformed, "must hold either a change or a checkpoint chunk")
+	}
+	if r.Chunk != nil && !r.Chunk.wellFormed() {
+		return Record{}, errors.Wrapf(ErrMalformed, "chunk %d of %d", r.Chunk.Index, r.Chunk.Count)
+	}
+	r.Writer, r.Sequence = writer, sequence
+	return r, nil
+}
+
+func (c *Chunk) wellFormed() bool {
+	inRange := c.Count >= 1 && c.Count <= maxChunks && c.Index >= 0 && c.Index < c.Count
+	return inRange && len(c.Data) <= maxChunk && c.Version <= uint64(c.Next)
+}
+
+// State is the result of a replay up to an offset. Instances hand it to peers that start while the platform is down.
+type State struct {
+	// Next is the offset of the first record that is not part of the state.
+	Next    entity.Offset    `json:"next"`
+	Version uint64           `json:"version"`
+	Config  *operator.Config `json:"config"`
+	// Checkpoint is the position of the last complete checkpoint in the stream, 0 if there is none.
+	Checkpoint entity.Offset `json:"checkpoint"`
+}
+
+// EncodeState returns the encoded state.
+func EncodeState(s State) ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration state")
+	}
+	return data, nil
+}
+
+// DecodeState returns the state and validates its configuration. The error is ErrMalformed.
+func DecodeState(data []byte) (State, error) {
+	var s State
+	if err := json.Unmarshal(data, &s); err != nil {
+		return State{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if s.Config == nil || s.Version > uint64(s.Next) {
+		return State{}, errors.Wrap(ErrMalformed, "state without a configuration or with an impossible version")
+	}
+	s.Config = s.Config.WithDefaults()
+	if err := s.Config.Validate(); err != nil {
+		return State{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	return s, nil
+}
+
+// split returns the checkpoint of a configuration in chunks.
+func split(version uint64, next entity.Offset, c *operator.Config) ([]Chunk, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode checkpoint")
+	}
+	count := (len(data) + maxChunk - 1) / maxChunk
+	if count > maxChunks {
+		return nil, errors.Errorf("configuration of %d bytes is too large for a checkpoint", len(data))
+	}
+	chunks := make([]Chunk, count)
+	for i := range chunks {
+		part := data[i*maxChunk : min((i+1)*maxChunk, len(data))]
+		chunks[i] = Chunk{Version: version, Next: next, Index: i, Count: count, Data: part}
+	}
+	return chunks, nil
+}
+
+// merge returns the configuration of a complete checkpoint. The error is ErrMalformed.
+func merge(data []byte) (*operator.Config, error) {
+	var c operator.Config
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	full := c.WithDefaults()
+	if err := full.Validate(); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	return full, nil
+}
--- /dev/null
+++ b/internal/configlog/replay.go
@@ -0,0 +1,286 @@
+package configlog
+
+import (
+	"fmt"
+
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// VerdictKind says what a replay did with a record.
+type VerdictKind uint8
+
+const (
+	// VerdictAccepted means that the change is in force with Version.
+	VerdictAccepted VerdictKind = iota + 1
+	// VerdictRefused means that the record has no effect, for Reason.
+	VerdictRefused
+	// VerdictRepeat means that the record repeats the one that was accepted with Version, and has no effect.
+	VerdictRepeat
+	// VerdictOld means that the replay has already passed the record's offset.
+	VerdictOld
+	// VerdictPending means that records before this one are missing, so that it can be judged only after a checkpoint.
+	VerdictPending
+	// VerdictStored means that the record is part of a checkpoint that is not yet complete.
+	VerdictStored
+	// VerdictCheckpoint means that the record completes a checkpoint that agrees with what the replay knows.
+	VerdictCheckpoint
+	// VerdictRestored means that the record completes a checkpoint that ended a gap. The version in force is Version.
+	VerdictRestored
+)
+
+// Verdict is the result of applying one record.
+type Verdict struct {
+	Kind    VerdictKind
+	Version uint64
+	Reason  string
+}
+
+// Limits of what a replay remembers.
+const (
+	// maxAccepted is the number of accepted records that are remembered to recognize their repeats. The base version alone
+	// makes a forgotten repeat a refused one.
+	maxAccepted = 1024
+	// maxPending is the number of changes that are kept during a gap. A checkpoint is written at once, so only the few
+	// changes that raced with it are needed.
+	maxPending = 4096
+	// maxAssemblies is the number of checkpoints that are assembled at a time.
+	maxAssemblies = 4
+)
+
+type identity struct {
+	writer   string
+	sequence uint64
+}
+
+type pendingChange struct {
+	offset entity.Offset
+	record Record
+}
+
+// Replay turns the records of the stream into the configuration in force. All replays of the same stream give the same
+// verdict on a record, wherever they started. The version only grows; it is the offset of the accepted change plus one.
+// A Replay is not safe for concurrent use.
+type Replay struct {
+	next    entity.Offset
+	version uint64
+	config  *operator.Config
+	// known is false while records before next are missing. The configuration stays in force, but nothing is accepted.
+	known bool
+	// start is the offset from which on the replay has seen every record since the last gap.
+	start   entity.Offset
+	pending []pendingChange
+	// accepted remembers the versions of accepted changes; order is their order, for forgetting the oldest.
+	accepted map[identity]uint64
+	order    []identity
+	parts    assemblies
+	// checkpoint is the largest Next of a complete checkpoint: a replay that starts there needs nothing older. Zero if none.
+	checkpoint entity.Offset
+}
+
+// NewReplay returns a replay at the beginning of the stream, with version 0 and an empty configuration.
+func NewReplay() *Replay {
+	return &Replay{config: &operator.Config{}, known: true, accepted: map[identity]uint64{}}
+}
+
+// Next returns the offset of the next record to apply.
+func (r *Replay) Next() entity.Offset { return r.next }
+
+// Version returns the version in force, 0 if there is none yet.
+func (r *Replay) Version() uint64 { return r.version }
+
+// Config returns the configuration in force. It must not be changed.
+func (r *Replay) Config() *operator.Config { return r.config }
+
+// Known reports whether no record is missing, so that Config is what the stream says up to Next.
+func (r *Replay) Known() bool { return r.known }
+
+// Accepted returns the version with which a record was accepted, if the replay has seen that recently.
+func (r *Replay) Accepted(writer string, sequence uint64) (uint64, bool) {
+	version, ok := r.accepted[identity{writer, sequence}]
+	return version, ok
+}
+
+// SinceCheckpoint returns the number of records after the position of the last complete checkpoint.
+func (r *Replay) SinceCheckpoint() uint64 { return uint64(r.next - r.checkpoint) }
+
+// CheckpointOffset returns the position of the last complete checkpoint, 0 if there is none.
+func (r *Replay) CheckpointOffset() entity.Offset { return r.checkpoint }
+
+// Truncated tells the replay that the log no longer has records before first. It reports whether that is a gap.
+func (r *Replay) Truncated(first entity.Offset) bool {
+	if first <= r.next {
+		return false
+	}
+	r.known = false
+	r.start, r.next = first, first
+	r.pending = nil
+	r.parts = assemblies{}
+	return true
+}
+
+// ApplyRaw decodes and applies a record of the log. A malformed record is refused and passed.
+func (r *Replay) ApplyRaw(raw platform.Record) Verdict {
+	record, err := Decode(raw.Writer, raw.Sequence, raw.Payload)
+	if err != nil {
+		if raw.Offset < r.next {
+			return Verdict{Kind: VerdictOld}
+		}
+		r.advance(raw.Offset)
+		return Verdict{Kind: VerdictRefused, Reason: err.Error()}
+	}
+	return r.Apply(raw.Offset, record)
+}
+
+// Apply applies the record at an offset. An offset beyond Next is noticed as a gap.
+func (r *Replay) Apply(offset entity.Offset, record Record) Verdict {
+	if offset < r.next {
+		return Verdict{Kind: VerdictOld}
+	}
+	r.advance(offset)
+	if record.Chunk != nil {
+		return r.applyChunk(offset, record)
+	}
+	if !r.known {
+		r.keepPending(offset, record)
+		return Verdict{Kind: VerdictPending, Reason: "earlier records are missing"}
+	}
+	return r.applyChange(offset, record)
+}
+
+// advance moves the position behind the record at offset and notes a gap before it.
+func (r *Replay) advance(offset entity.Offset) {
+	r.Truncated(offset)
+	r.next = offset + 1
+}
+
+func (r *Replay) keepPending(offset entity.Offset, record Record) {
+	if len(r.pending) == maxPending {
+		r.start = r.pending[0].offset + 1
+		r.pending = r.pending[1:]
+	}
+	r.pending = append(r.pending, pendingChange{offset, record})
+}
+
+// applyChange judges a change by its base only, so that the verdict does not depend on what a replay remembers. A repeat of
+// an accepted change always has an older base.
+func (r *Replay) applyChange(offset entity.Offset, record Record) Verdict {
+	id := identity{record.Writer, record.Sequence}
+	if base := record.Change.Base; base != r.version {
+		if version, ok := r.accepted[id]; ok {
+			return Verdict{Kind: VerdictRepeat, Version: version}
+		}
+		return Verdict{Kind: VerdictRefused, Reason: fmt.Sprintf("based on version %d, but version %d is in force", base, r.version)}
+	}
+	config, err := operator.Apply(r.config, record.Change.Change)
+	if err != nil {
+		return Verdict{Kind: VerdictRefused, Reason: err.Error()}
+	}
+	r.config, r.version = config, uint64(offset)+1
+	r.remember(id)
+	return Verdict{Kind: VerdictAccepted, Version: r.version}
+}
+
+func (r *Replay) remember(id identity) {
+	if _, ok := r.accepted[id]; !ok {
+		r.order = append(r.order, id)
+	}
+	r.accepted[id] = r.version
+	if len(r.order) > maxAccepted {
+		delete(r.accepted, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+// applyChunk collects a checkpoint and, if records are missing, restores from it.
+func (r *Replay) applyChunk(offset entity.Offset, record Record) Verdict {
+	chunk := record.Chunk
+	if chunk.Next > offset {
+		return Verdict{Kind: VerdictRefused, Reason: "checkpoint of a state later than itself"}
+	}
+	data, complete, ok := r.parts.add(record.Writer, chunk)
+	if !ok {
+		return Verdict{Kind: VerdictRefused, Reason: "checkpoint chunk out of order"}
+	}
+	if !complete {
+		return Verdict{Kind: VerdictStored}
+	}
+	config, err := merge(data)
+	if err != nil {
+		return Verdict{Kind: VerdictRefused, Reason: err.Error()}
+	}
+	if r.known {
+		return r.compare(chunk, config)
+	}
+	return r.restore(chunk, config)
+}
+
+// compare takes note of a checkpoint. It never changes what is in force. An older version is right if the version in force
+// was accepted after the checkpoint's position.
+func (r *Replay) compare(chunk *Chunk, config *operator.Config) Verdict {
+	same := chunk.Version == r.version && operator.Equal(config, r.config)
+	older := chunk.Version < r.version && r.version > uint64(chunk.Next)
+	if !same && !older {
+		return Verdict{Kind: VerdictRefused, Reason: "checkpoint contradicts the stream"}
+	}
+	r.checkpoint = max(r.checkpoint, chunk.Next)
+	return Verdict{Kind: VerdictCheckpoint, Version: chunk.Version}
+}
+
+// restore ends a gap. The replay must have seen everything from the checkpoint's position on: changes accepted between that
+// position and the replay's start would otherwise be lost, and an older version would return.
+func (r *Replay) restore(chunk *Chunk, config *operator.Config) Verdict {
+	if chunk.Next < r.start || chunk.Version < r.version {
+		return Verdict{Kind: VerdictRefused, Reason: "checkpoint older than the oldest record that was read"}
+	}
+	r.known = true
+	r.version, r.config = chunk.Version, config
+	r.checkpoint = max(r.checkpoint, chunk.Next)
+	pending := r.pending
+	r.pending = nil
+	for _, p := range pending {
+		if p.offset >= chunk.Next {
+			r.applyChange(p.offset, p.record)
+		}
+	}
+	return Verdict{Kind: VerdictRestored, Version: r.version}
+}
+
+// State returns the state for a peer, and false while records are missing.
+func (r *Replay) State() (State, bool) {
+	return State{Next: r.next, Version: r.version, Config: r.config, Checkpoint: r.checkpoint}, r.known
+}
+
+// Adopt takes over a peer's state if it is further than the replay, and reports whether it did.
+func (r *Replay) Adopt(s State) bool {
+	if s.Version < r.version || s.Next < r.next || (r.known && s.Next == r.next) {
+		return false
+	}
+	r.next, r.version, r.config, r.known = s.Next, s.Version, s.Config, true
+	r.start, r.pending, r.parts = s.Next, nil, assemblies{}
+	r.checkpoint = max(r.checkpoint, s.Checkpoint)
+	return true
+}
+
+// Checkpoint returns the records of a checkpoint of the configuration in force, and none while records are missing or
+// nothing is in force.
+func (r *Replay) Checkpoint(author string) ([]Record, error) {
+	if !r.known || r.version == 0 {
+		return nil, nil
+	}
+	return CheckpointOf(State{Next: r.next, Version: r.version, Config: r.config}, author)
+}
+
+// CheckpointOf returns the records of a checkpoint of a state.
+func CheckpointOf(s State, author string) ([]Record, error) {
+	chunks, err := split(s.Version, s.Next, s.Config)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]Record, len(chunks))
+	for i := range chunks {
+		records[i] = Record{Author: author, Chunk: &chunks[i]}
+	}
+	return records, nil
+}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -16,8 +16,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
