--- a/internal/decide/routing/snapshot.go
+++ b/internal/decide/routing/snapshot.go
@@ -1,5 +1,184 @@
 // Package routing builds the immutable snapshot by which traffic finds the owner of a key and its primary.
 package routing
 
-// Snapshot is the immutable view by which traffic finds the owner of a key.
-type Snapshot struct{}
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// Snapshot is the immutable view by which traffic finds the customer of a key, the route of a request and the owner of
+// its key. It is safe for concurrent use, and its lookups do not allocate.
+type Snapshot struct {
+	version   uint64
+	offset    entity.Offset
+	customers map[[32]byte]entity.CustomerID
+	services  map[string]*serviceTable
+	backends  map[entity.BackendID]*Backend
+}
+
+// Backend is what traffic needs to know of a back end.
+type Backend struct {
+	ID      entity.BackendID
+	Address string // host:port
+	Zone    entity.Zone
+	// ChecksTokens says whether the back end refuses requests with an outdated fencing token.
+	ChecksTokens bool
+	// Slots is the number of requests that the back end runs at once when warm.
+	Slots          int
+	MaxConnections int
+	// Candidates are the members of the lease group that serves the back end, in the order in which they should be asked
+	// whether they are its primary. The slice must not be changed.
+	Candidates []ownership.Member
+}
+
+// Target is the owner of a key.
+type Target struct {
+	Partition entity.Partition
+	Epoch     entity.Epoch
+	// Backend is the owner. It is nil unless the outcome of Locate is answered.
+	Backend *Backend
+}
+
+// Route is a route of a service with the settings of the service that apply to its requests.
+type Route struct {
+	Service entity.ServiceName
+	// Path is the route's path prefix inside the service.
+	Path string
+	// Idempotent requests may be repeated by the router; others are sent at most once.
+	Idempotent bool
+	// Internal routes are reachable on the internal listener only and need no customer's key.
+	Internal bool
+	MaxBody  int64 // bytes
+	// MaxRun caps the time that a request may run on a back end.
+	MaxRun            time.Duration
+	CutoffHold        time.Duration
+	IdempotencyWindow time.Duration
+}
+
+// serviceTable is one service of the snapshot.
+type serviceTable struct {
+	// routes maps path prefixes to the route of each method.
+	routes map[string]map[string]*Route
+	// depth is the largest number of segments of a route's path. It bounds the lookups for a request.
+	depth int
+	// view is nil until the service's partitions are assigned.
+	view *ownership.ServiceView
+}
+
+// Build returns the snapshot of a configuration, which must be complete with its defaults, and an ownership view. Either
+// may be nil while it is not known yet.
+func Build(cfg *operator.Config, cfgVersion uint64, view *ownership.View) *Snapshot {
+	if cfg == nil {
+		cfg = &operator.Config{}
+	}
+	if view == nil {
+		view = &ownership.View{}
+	}
+	s := &Snapshot{
+		version:   cfgVersion,
+		offset:    view.Offset,
+		customers: make(map[[32]byte]entity.CustomerID, len(cfg.Customers)),
+		services:  make(map[string]*serviceTable, len(cfg.Services)),
+		backends:  map[entity.BackendID]*Backend{},
+	}
+	for i := range cfg.Customers {
+		s.addCustomer(&cfg.Customers[i])
+	}
+	order := newAskOrder(view)
+	for i := range cfg.Services {
+		svc := &cfg.Services[i]
+		s.services[svc.Name] = newServiceTable(svc, view.Services[entity.ServiceName(svc.Name)])
+		for j := range svc.Backends {
+			s.addBackend(&svc.Backends[j], order)
+		}
+	}
+	return s
+}
+
+// Version returns the version of the configuration of which the snapshot was built.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Offset returns the offset of the ownership view of which the snapshot was built.
+func (s *Snapshot) Offset() entity.Offset { return s.offset }
+
+func (s *Snapshot) addCustomer(c *operator.Customer) {
+	for _, text := range c.KeyHashes {
+		var hash [32]byte
+		// A validated configuration has well-formed hashes. A malformed one must not make a shorter key valid.
+		if n, err := hex.Decode(hash[:], []byte(text)); err == nil && n == len(hash) {
+			s.customers[hash] = entity.CustomerID(c.Name)
+		}
+	}
+}
+
+func (s *Snapshot) addBackend(b *operator.Backend, order *askOrder) {
+	id := entity.BackendID(b.Name)
+	s.backends[id] = &Backend{
+		ID:             id,
+		Address:        b.Address,
+		Zone:           entity.Zone(b.Zone),
+		ChecksTokens:   b.ChecksTokens,
+		Slots:          b.Slots,
+		MaxConnections: b.MaxConnections,
+		Candidates:     order.candidates(id, entity.Zone(b.Zone)),
+	}
+}
+
+// Customer returns the customer whose key has the given SHA-256 hash.
+func (s *Snapshot) Customer(hash [32]byte) (entity.CustomerID, bool) {
+	id, ok := s.customers[hash]
+	return id, ok
+}
+
+// Backend returns a back end of the configuration.
+func (s *Snapshot) Backend(id entity.BackendID) (*Backend, bool) {
+	b, ok := s.backends[id]
+	return b, ok
+}
+
+// Refusals of Locate. They are the same for all requests, so that they need no allocation.
+var (
+	outcomeUnknownService = entity.NotRun(entity.ReasonUnknownService, "")
+	outcomeUnassigned     = entity.NotRun(entity.ReasonNoOwner, "partition has no owner yet")
+	outcomeMoving         = entity.NotRun(entity.ReasonNoOwner, "partition is moving to another owner")
+	outcomeRemoved        = entity.NotRun(entity.ReasonNoOwner, "owner is not in the configuration")
+	outcomeNoInstance     = entity.NotRun(entity.ReasonNoOwner, "no instance serves the owner's zone")
+)
+
+// Locate returns the owner of a key. The outcome is answered if the request can be sent to the target, and not run
+// otherwise.
+func (s *Snapshot) Locate(service entity.ServiceName, key string) (Target, entity.Outcome) {
+	table, ok := s.services[string(service)]
+	if !ok {
+		return Target{}, outcomeUnknownService
+	}
+	if table.view == nil {
+		return Target{}, outcomeUnassigned
+	}
+	p := table.view.Locate(entity.HashKey(key))
+	target := Target{Partition: p}
+	if int(p) >= len(table.view.Owners) {
+		return target, outcomeUnassigned
+	}
+	owner := &table.view.Owners[p]
+	target.Epoch = owner.Epoch
+	if owner.Moving() {
+		return target, outcomeMoving
+	}
+	if owner.Backend == "" {
+		return target, outcomeUnassigned
+	}
+	backend, ok := s.backends[owner.Backend]
+	if !ok {
+		return target, outcomeRemoved
+	}
+	if len(backend.Candidates) == 0 {
+		return target, outcomeNoInstance
+	}
+	target.Backend = backend
+	return target, entity.Answered()
+}
