Add majority leases that work without the log

Cause: which instance may renew a back end's session must be decided within a zone even when the log cannot be reached. Ruled out: renewals through the log (an outage stops everything) and a promise as long as the holder's validity, which a test shows to overlap when the voter's clock is 1% fast and the holder's 1% slow. Change: a voter promises a name to one holder at a time; a holder counts a majority's promises from the time it sent its claim. Terms are based on the roster version, so that they grow even when a group is replaced as a whole. The same code serves instances and zones as voters.

--- /dev/null
+++ b/internal/decide/lease/participant.go
@@ -0,0 +1,86 @@
+package lease
+
+import "time"
+
+// Participant is one member with its vote and its claims. It counts its own vote like those of the others.
+type Participant struct {
+	Holder *Holder
+	Voter  *Voter
+	self   Member
+}
+
+// NewParticipant returns a participant that starts at now.
+func NewParticipant(now time.Duration, self Member, timing Timing, settings VoterSettings) *Participant {
+	return &Participant{Holder: NewHolder(now, self, timing), Voter: NewVoter(now, settings), self: self}
+}
+
+// SetRoster replaces the roster.
+func (p *Participant) SetRoster(r Roster) {
+	p.Holder.SetRoster(r)
+	p.Voter.SetVersion(r.Version)
+}
+
+// Tick renews and begins claims and counts the own vote. The claims are to be sent to all other voters.
+func (p *Participant) Tick(now time.Duration) Effects {
+	effects := p.Holder.Tick(now, p.Voter)
+	p.voteOnReleases(now, effects.Releases)
+	claims := effects.Claims
+	results := p.Vote(now, p.self, p.Holder.Roster().Version, claims)
+	answered := p.Holder.Answer(now, p.self, now, claims, results)
+	p.voteOnReleases(now, answered.Releases)
+	effects.merge(answered)
+	return effects
+}
+
+// Vote answers the claims of a member.
+func (p *Participant) Vote(now time.Duration, from Member, version uint64, claims []Claim) []Result {
+	results := make([]Result, 0, len(claims))
+	for _, c := range claims {
+		results = append(results, p.Voter.Claim(now, from, version, c))
+	}
+	return results
+}
+
+// Answer counts the results of another voter.
+func (p *Participant) Answer(now time.Duration, from Member, sentAt time.Duration, sent []Claim, results []Result) Effects {
+	return p.released(now, p.Holder.Answer(now, from, sentAt, sent, results))
+}
+
+// Want replaces the set of names that this participant may hold.
+func (p *Participant) Want(now time.Duration, names []Name) Effects {
+	return p.released(now, p.Holder.Want(now, names))
+}
+
+// HandOver releases those of the names that another live member should hold.
+func (p *Participant) HandOver(now time.Duration, names []Name) Effects {
+	return p.released(now, p.Holder.HandOver(now, names))
+}
+
+// Release gives names back.
+func (p *Participant) Release(now time.Duration, names []Name) Effects {
+	return p.released(now, p.Holder.Release(now, names))
+}
+
+// Stop releases everything for good. The participant keeps voting.
+func (p *Participant) Stop(now time.Duration) Effects {
+	return p.released(now, p.Holder.Stop(now))
+}
+
+func (p *Participant) released(now time.Duration, effects Effects) Effects {
+	p.voteOnReleases(now, effects.Releases)
+	return effects
+}
+
+// voteOnReleases frees the own promises. Releases count whatever the roster version is.
+func (p *Participant) voteOnReleases(now time.Duration, releases []Claim) {
+	for _, c := range releases {
+		p.Voter.Claim(now, p.self, p.Voter.Version(), c)
+	}
+}
+
+func (e *Effects) merge(other Effects) {
+	e.Claims = append(e.Claims, other.Claims...)
+	e.Releases = append(e.Releases, other.Releases...)
+	e.Gained = append(e.Gained, other.Gained...)
+	e.Lost = append(e.Lost, other.Lost...)
+}
