Add the replayed ownership state

Cause: all instances must reach the same verdict on each record of the control stream, with repeats, racing writers and stale decisions in it.

A zone is lost when a majority of the zones with members has voted in the log, or when the operator confirms it.

Ruled out: one record that sets shares of both zones at once, because the receiver could apply it before the giver and spend the same tokens twice.

--- a/internal/decide/ownership/view.go
+++ b/internal/decide/ownership/view.go
@@ -25,6 +25,8 @@
 	Hot map[entity.KeyHash]entity.Partition
 	// Owners is indexed by partition: first the base partitions, then the virtual ones.
 	Owners []Owner
+	// Down maps back ends that were reported lost to the offset of the report. They get no partitions until they are up.
+	Down map[entity.BackendID]entity.Offset
 	// Version is the offset of the last record that changed the service's assignment.
 	Version entity.Epoch
 }
@@ -62,8 +64,17 @@
 	GroupVersions map[GroupKey]uint64
 	// LostZones maps zones declared lost to the offset of their ZoneLost record.
 	LostZones map[entity.Zone]entity.Offset
+	// LostVotes maps zones that are not lost to the zones that have voted for declaring them lost.
+	LostVotes map[entity.Zone]map[entity.Zone]entity.Offset
+	// ZonesVersion is the offset of the last record that changed LostZones or LostVotes.
+	ZonesVersion entity.Offset
 	// ZoneShares maps customers to the share of each zone in thousandths, which sum to 1000. Absent means even shares.
+	// While shares move they sum to less: the giver's part is already taken away and the receiver's is not yet given.
 	ZoneShares map[entity.CustomerID]map[entity.Zone]uint32
+	// ShareVersions maps customers to the offset of the last change of their shares.
+	ShareVersions map[entity.CustomerID]entity.Offset
+	// PendingShares maps customers whose shares move to the shares after the move.
+	PendingShares map[entity.CustomerID]map[entity.Zone]uint32
 }
 
 // Group returns the members of a lease group in roster order.
@@ -76,3 +87,13 @@
 	}
 	return members
 }
+
+// Member returns the member with the given id.
+func (v *View) Member(id entity.InstanceID) (Member, bool) {
+	for _, m := range v.Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
