Encode the records of the control stream

Cause: records and checkpoints travel through the platform's log, which holds opaque payloads, and can arrive damaged or from another version.

Tests of the ownership state now also draw releases that do not fit.

--- a/internal/decide/ownership/state_test.go
+++ b/internal/decide/ownership/state_test.go
@@ -107,7 +107,8 @@
 	release := ownership.Release{Service: testService}
 	if s := v.Services[testService]; s != nil {
 		for p, owner := range s.Owners {
-			if owner.Moving() && rapid.Bool().Draw(t, "release") {
+			wrong := rapid.IntRange(0, 4).Draw(t, "wrong") == 0
+			if owner.Moving() != wrong && rapid.Bool().Draw(t, "release") {
 				step := ownership.ReleaseStep{Partition: entity.Partition(p), Epoch: owner.Epoch}
 				release.Steps = append(release.Steps, step)
 			}
@@ -178,7 +179,7 @@
 		return
 	}
 	_, hotKeys := r.(ownership.HotKeys)
-	_, release := r.(ownership.Release)
+	release, _ := r.(ownership.Release)
 	for p := range min(len(before.Owners), len(after.Owners)) {
 		was, is := before.Owners[p], after.Owners[p]
 		if was.Epoch == is.Epoch {
@@ -192,7 +193,8 @@
 		if was.Backend == "" {
 			continue
 		}
-		require.True(t, release && was.Moving(), "owner of %d changed without a release", p)
+		require.True(t, was.Moving(), "owner of %d changed without a move", p)
+		require.Contains(t, release.Steps, ownership.ReleaseStep{Partition: entity.Partition(p), Epoch: was.Epoch})
 		require.Contains(t, []entity.BackendID{is.Backend, ownership.Nobody}, was.To)
 	}
 	for hash := range entity.KeyHash(8) {
@@ -295,3 +297,26 @@
 	last := ownership.Stamp{Writer: "w1999", Sequence: 1}
 	require.Equal(t, ownership.DropRepeated, state.Apply(2000, last, ownership.Release{}).Reason)
 }
+
+// Guards against the proof for an earlier assignment that releases a later one of the same partition.
+func TestReleaseOfAnEarlierEpochIsDropped(t *testing.T) {
+	state := ownership.New()
+	state.Skip(0)
+	move := func(to entity.BackendID) ownership.Record {
+		steps := []ownership.MoveStep{{Partition: 0, To: to}}
+		return ownership.Move{Service: testService, Version: version(state.View()), Count: 1, Steps: steps}
+	}
+	release := func(epoch entity.Epoch) ownership.Record {
+		return ownership.Release{Service: testService, Steps: []ownership.ReleaseStep{{Partition: 0, Epoch: epoch}}}
+	}
+	apply := func(r ownership.Record) ownership.Verdict {
+		offset := state.Next()
+		return state.Apply(offset, ownership.Stamp{Writer: "w", Sequence: uint64(offset)}, r)
+	}
+	require.True(t, apply(move("b1")).Applied)
+	require.True(t, apply(move("b2")).Applied)
+	require.True(t, apply(release(1)).Applied)
+	require.True(t, apply(move("b1")).Applied)
+	require.Equal(t, ownership.DropEpoch, apply(release(1)).Reason)
+	require.Equal(t, ownership.Owner{Backend: "b2", Epoch: 3, To: "b1"}, state.View().Services[testService].Owners[0])
+}
--- /dev/null
+++ b/internal/records/decode.go
@@ -0,0 +1,246 @@
+// Package records encodes the records and checkpoints of the control stream as protobuf messages, and refuses bad input.
+package records
+
+import (
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/records/pb"
+)
+
+// Limits of a record.
+const (
+	// MaxPayload is the largest encoded record in bytes.
+	MaxPayload = ownership.MaxChunkBytes
+	// maxName is the largest name or address in bytes. Addresses are host:port with a DNS name of at most 253 bytes.
+	maxName = 300
+)
+
+// Errors of encoding and decoding.
+var (
+	// ErrMalformed means that the payload is no valid record.
+	ErrMalformed = errors.New("malformed record")
+	// ErrUnknownKind means that the kind of record is not known to this version.
+	ErrUnknownKind = errors.New("unknown kind of record")
+	// ErrTooLarge means that a record exceeds MaxPayload.
+	ErrTooLarge = errors.New("record too large")
+)
+
+// Decode returns the record that a payload holds. It fails with ErrMalformed, ErrUnknownKind or ErrTooLarge.
+func Decode(payload []byte) (ownership.Record, error) {
+	if len(payload) > MaxPayload {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(payload))
+	}
+	message := &pb.Record{}
+	if err := proto.Unmarshal(payload, message); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	d := &decoder{}
+	record := d.record(message)
+	if d.err != nil {
+		return nil, d.err
+	}
+	return record, nil
+}
+
+// DecodeState returns the checkpoint that a peer sent. It fails with ErrMalformed.
+func DecodeState(state []byte) ([]ownership.Chunk, error) {
+	message := &pb.State{}
+	if err := proto.Unmarshal(state, message); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	d := &decoder{}
+	chunks := make([]ownership.Chunk, 0, len(message.GetChunks()))
+	for _, m := range message.GetChunks() {
+		chunks = append(chunks, d.chunk(m))
+	}
+	return chunks, d.err
+}
+
+// decoder converts messages and keeps the first error.
+type decoder struct{ err error }
+
+func (d *decoder) check(ok bool, format string, args ...any) {
+	if !ok && d.err == nil {
+		d.err = errors.Wrapf(ErrMalformed, format, args...)
+	}
+}
+
+// name checks a text that must not be empty.
+func name[T ~string](d *decoder, field, text string) T {
+	d.check(text != "", "%s is empty", field)
+	return optional[T](d, field, text)
+}
+
+// optional checks a text that may be empty.
+func optional[T ~string](d *decoder, field, text string) T {
+	d.check(len(text) <= maxName, "%s has %d bytes", field, len(text))
+	d.check(utf8.ValidString(text), "%s is not UTF-8", field)
+	return T(text)
+}
+
+func names[T ~string](d *decoder, field string, list []string) []T {
+	var ids []T
+	for _, text := range list {
+		ids = append(ids, name[T](d, field, text))
+	}
+	return ids
+}
+
+func (d *decoder) record(m *pb.Record) ownership.Record {
+	switch body := m.GetBody().(type) {
+	case *pb.Record_Join:
+		return ownership.Join{Version: body.Join.GetVersion(), Member: d.member(body.Join.GetMember())}
+	case *pb.Record_Leave:
+		return d.leave(body.Leave)
+	case *pb.Record_ForcedLeave:
+		return d.forcedLeave(body.ForcedLeave)
+	case *pb.Record_Move:
+		return d.move(body.Move)
+	case *pb.Record_Release:
+		return d.release(body.Release)
+	case *pb.Record_HotKeys:
+		return d.hotKeys(body.HotKeys)
+	case *pb.Record_RemoveService:
+		return ownership.RemoveService{
+			Service: name[entity.ServiceName](d, "service", body.RemoveService.GetService()),
+			Version: entity.Epoch(body.RemoveService.GetVersion()),
+		}
+	case *pb.Record_ZoneLost:
+		return d.zoneLost(body.ZoneLost)
+	case *pb.Record_ZoneBack:
+		return d.zoneBack(body.ZoneBack)
+	case *pb.Record_Shares:
+		return d.sharesRecord(body.Shares)
+	case *pb.Record_SharesSettled:
+		return ownership.SharesSettled{
+			Customer: name[entity.CustomerID](d, "customer", body.SharesSettled.GetCustomer()),
+			Version:  entity.Offset(body.SharesSettled.GetVersion()),
+		}
+	case *pb.Record_Checkpoint:
+		return ownership.Checkpoint{Chunk: d.chunk(body.Checkpoint)}
+	default:
+		if d.err == nil {
+			d.err = errors.Wrap(ErrUnknownKind, "no known body")
+		}
+		return nil
+	}
+}
+
+func (d *decoder) member(m *pb.Member) ownership.Member {
+	return ownership.Member{
+		ID:      name[entity.InstanceID](d, "member", m.GetId()),
+		Zone:    name[entity.Zone](d, "zone", m.GetZone()),
+		Address: optional[string](d, "address", m.GetAddress()),
+		Group:   m.GetGroup(),
+	}
+}
+
+func (d *decoder) group(m *pb.GroupKey) ownership.GroupKey {
+	return ownership.GroupKey{Zone: name[entity.Zone](d, "zone", m.GetZone()), Group: m.GetGroup()}
+}
+
+func (d *decoder) leave(m *pb.Leave) ownership.Record {
+	return ownership.Leave{
+		Group: d.group(m.GetGroup()), Version: m.GetVersion(),
+		Instance: name[entity.InstanceID](d, "instance", m.GetInstance()),
+	}
+}
+
+func (d *decoder) forcedLeave(m *pb.ForcedLeave) ownership.Record {
+	d.check(len(m.GetInstances()) > 0, "no instances")
+	d.check(len(m.GetInstances()) <= ownership.MaxGroupSize, "%d instances", len(m.GetInstances()))
+	return ownership.ForcedLeave{
+		Group: d.group(m.GetGroup()), Version: m.GetVersion(),
+		Instances: names[entity.InstanceID](d, "instance", m.GetInstances()),
+	}
+}
+
+func (d *decoder) move(m *pb.Move) ownership.Record {
+	r := ownership.Move{
+		Service: name[entity.ServiceName](d, "service", m.GetService()),
+		Version: entity.Epoch(m.GetVersion()),
+		Count:   m.GetCount(),
+		Down:    names[entity.BackendID](d, "back end", m.GetDown()),
+		Up:      names[entity.BackendID](d, "back end", m.GetUp()),
+	}
+	d.check(ownership.ValidCount(r.Count), "%d partitions", r.Count)
+	d.check(len(m.GetSteps())+len(r.Down)+len(r.Up) > 0, "empty move")
+	for _, s := range m.GetSteps() {
+		d.check(uint64(s.GetPartition()) < uint64(r.Count)+ownership.MaxHotKeys, "partition %d", s.GetPartition())
+		r.Steps = append(r.Steps, ownership.MoveStep{
+			Partition: entity.Partition(s.GetPartition()), To: name[entity.BackendID](d, "next owner", s.GetTo()),
+		})
+	}
+	return r
+}
+
+func (d *decoder) release(m *pb.Release) ownership.Record {
+	r := ownership.Release{Service: name[entity.ServiceName](d, "service", m.GetService())}
+	d.check(len(m.GetSteps()) > 0, "empty release")
+	for _, s := range m.GetSteps() {
+		step := ownership.ReleaseStep{Partition: entity.Partition(s.GetPartition()), Epoch: entity.Epoch(s.GetEpoch())}
+		d.check(step.Epoch > 0, "release without epoch")
+		r.Steps = append(r.Steps, step)
+	}
+	return r
+}
+
+func (d *decoder) hotKeys(m *pb.HotKeys) ownership.Record {
+	return ownership.HotKeys{
+		Service: name[entity.ServiceName](d, "service", m.GetService()),
+		Version: entity.Epoch(m.GetVersion()),
+		Add:     d.hashes(m.GetAdd()),
+		Remove:  d.hashes(m.GetRemove()),
+	}
+}
+
+func (d *decoder) hashes(list []uint64) []entity.KeyHash {
+	d.check(len(list) <= ownership.MaxHotKeys, "%d hot keys", len(list))
+	var hashes []entity.KeyHash
+	for _, hash := range list {
+		hashes = append(hashes, entity.KeyHash(hash))
+	}
+	return hashes
+}
+
+func (d *decoder) zoneLost(m *pb.ZoneLost) ownership.Record {
+	r := ownership.ZoneLost{
+		Zone:      name[entity.Zone](d, "zone", m.GetZone()),
+		From:      optional[entity.Zone](d, "voting zone", m.GetFrom()),
+		Confirmed: m.GetConfirmed(),
+		Version:   entity.Offset(m.GetVersion()),
+	}
+	d.check(r.Confirmed || r.From != "", "vote without voting zone")
+	return r
+}
+
+func (d *decoder) zoneBack(m *pb.ZoneBack) ownership.Record {
+	return ownership.ZoneBack{
+		Zone:    name[entity.Zone](d, "zone", m.GetZone()),
+		From:    name[entity.Zone](d, "voting zone", m.GetFrom()),
+		Version: entity.Offset(m.GetVersion()),
+	}
+}
+
+func (d *decoder) sharesRecord(m *pb.Shares) ownership.Record {
+	return ownership.Shares{
+		Customer: name[entity.CustomerID](d, "customer", m.GetCustomer()),
+		Version:  entity.Offset(m.GetVersion()),
+		Current:  d.shares(m.GetCurrent()),
+		Next:     d.shares(m.GetNext()),
+	}
+}
+
+func (d *decoder) shares(list []*pb.ZoneShare) []ownership.ZoneShare {
+	var shares []ownership.ZoneShare
+	for _, s := range list {
+		d.check(s.GetShare() <= ownership.ShareTotal, "share %d", s.GetShare())
+		shares = append(shares, ownership.ZoneShare{Zone: name[entity.Zone](d, "zone", s.GetZone()), Share: s.GetShare()})
+	}
+	return shares
+}
