--- /dev/null
+++ b/internal/platform/wire/wire.go
@@ -0,0 +1,64 @@
+// Package wire holds the JSON messages of the platform's HTTP protocol, as docs/protocols.md describes them.
+package wire
+
+// Paths of the protocol. The stream's name replaces the parameter.
+const (
+	// PathRecords takes appends (POST) and reads (GET) of a stream.
+	PathRecords = "/v1/streams/:stream/records"
+	// PathInstances is the list of instances.
+	PathInstances = "/v1/instances"
+)
+
+// Query parameters of a read.
+const (
+	QueryFrom   = "from"    // offset of the first record
+	QueryLimit  = "limit"   // largest number of records
+	QueryWaitMs = "wait_ms" // milliseconds to wait for a record if there is none
+)
+
+// RecordsPath returns the path of a stream's records.
+func RecordsPath(stream string) string { return "/v1/streams/" + stream + "/records" }
+
+// Append is the body of an append.
+type Append struct {
+	Writer   string `json:"writer"`
+	Sequence uint64 `json:"sequence"`
+	Payload  []byte `json:"payload"` // base64 in JSON
+}
+
+// Appended is the answer to an append.
+type Appended struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Record is a record of a stream.
+type Record struct {
+	Offset   uint64 `json:"offset"`
+	Writer   string `json:"writer"`
+	Sequence uint64 `json:"sequence"`
+	Payload  []byte `json:"payload"`
+}
+
+// Batch is the answer to a read. With status 410 it has no records.
+type Batch struct {
+	First   uint64   `json:"first"`
+	Next    uint64   `json:"next"`
+	Records []Record `json:"records"`
+}
+
+// Instance is an entry of the instance list, and the body of a registration.
+type Instance struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+}
+
+// Instances is the answer to a request for the list.
+type Instances struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Error is the body of every answer with a status of 400 or above, except 410.
+type Error struct {
+	Error string `json:"error"`
+}
