--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pollenpier/pollenpier/internal/entity"
 )
 
@@ -91,11 +94,17 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Cause }
 
-// Session is the lease by which a back end may serve any of its grants.
+// Session is the lease by which a back end may serve any of its grants. The back end sets its end to Stamp + TTL on its own
+// clock if that is later than before. A renewal that was delayed on its way, or in the queue of a frozen back end, therefore
+// does not extend the session past the time that the sender counts from the receipt of the stamp.
 type Session struct {
 	Holder entity.InstanceID
 	Term   entity.Term
 	TTL    time.Duration
+	// StartID and Stamp are those of the last SessionStatus received. Empty and zero before the first: such a renewal, and
+	// one for another start of the process, is answered with a stamp but extends nothing.
+	StartID string
+	Stamp   uint64
 }
 
 // SessionStatus is a back end's answer to a renewal.
@@ -106,8 +115,25 @@
 	Term entity.Term
 	// Slots is the number of requests that the back end runs at once when warm. Zero if it does not say.
 	Slots int
+	// Stamp is the reading of the back end's monotonic clock in milliseconds when it answered.
+	Stamp uint64
 }
 
+// Errors of control requests.
+var (
+	// ErrUnreachable means that the back end did not answer as agreed.
+	ErrUnreachable = errors.New("back end unreachable")
+	// ErrOutdatedTerm means that the back end has accepted a higher term.
+	ErrOutdatedTerm = errors.New("back end has accepted a higher term")
+	// ErrStillRunning means that a revoked partition still has a running request. Nothing new starts for it.
+	ErrStillRunning = errors.New("revoked partition still has running requests")
+	// ErrReservedPath means that a request's path belongs to the control requests.
+	ErrReservedPath = errors.New("path reserved for control requests")
+)
+
+// ConnectionRefused reports whether an error says that nothing listened at the back end's address.
+func ConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Grant gives a partition to the back end from an epoch on.
 type Grant struct {
 	Service   entity.ServiceName
@@ -143,3 +169,9 @@
 	Health(ctx context.Context, target Target) (Health, error)
 	Load(ctx context.Context, target Target) (Load, error)
 }
+
+// Limiter is a Client that limits the connections to each back end.
+type Limiter interface {
+	// SetConnections sets the largest number of connections by back end and forgets back ends that are not listed.
+	SetConnections(limits map[entity.BackendID]int)
+}
--- /dev/null
+++ b/internal/backend/control.go
@@ -0,0 +1,131 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/backend/wire"
+	"github.com/pollenpier/pollenpier/internal/entity"
+)
+
+// maxControlBytes bounds the answer to a control request.
+const maxControlBytes = 64 << 10
+
+// RenewSession extends the session as far as its stamp allows.
+func (c *HTTPClient) RenewSession(ctx context.Context, target Target, s Session) (SessionStatus, error) {
+	body := wire.Session{
+		Holder: string(s.Holder), Term: uint64(s.Term), TTLMs: s.TTL.Milliseconds(), StartID: s.StartID, Stamp: s.Stamp,
+	}
+	var answer wire.SessionStatus
+	if err := c.control(ctx, target, http.MethodPut, wire.PathSession, body, &answer); err != nil {
+		return SessionStatus{}, errors.Wrapf(err, "renew session of %q", target.ID)
+	}
+	if answer.StartID == "" {
+		return SessionStatus{}, errors.Wrapf(ErrUnreachable, "session status of %q without start id", target.ID)
+	}
+	return SessionStatus{
+		StartID: answer.StartID, Term: entity.Term(answer.Term), Slots: answer.Slots, Stamp: answer.Stamp,
+	}, nil
+}
+
+// Grant adds partitions.
+func (c *HTTPClient) Grant(ctx context.Context, target Target, term entity.Term, grants []Grant) error {
+	body := wire.Grants{Term: uint64(term), Grant: wireGrants(grants)}
+	err := c.control(ctx, target, http.MethodPut, wire.PathGrants, body, nil)
+	return errors.Wrapf(err, "grant to %q", target.ID)
+}
+
+// Revoke withdraws partitions.
+func (c *HTTPClient) Revoke(ctx context.Context, target Target, term entity.Term, grants []Grant) error {
+	body := wire.Grants{Term: uint64(term), Revoke: wireGrants(grants)}
+	err := c.control(ctx, target, http.MethodPut, wire.PathGrants, body, nil)
+	return errors.Wrapf(err, "revoke from %q", target.ID)
+}
+
+// Health reads the health report.
+func (c *HTTPClient) Health(ctx context.Context, target Target) (Health, error) {
+	var answer wire.Health
+	if err := c.control(ctx, target, http.MethodGet, wire.PathHealth, nil, &answer); err != nil {
+		return Health{}, errors.Wrapf(err, "health of %q", target.ID)
+	}
+	return Health{Ready: answer.Ready, Draining: answer.Draining, StartID: answer.StartID}, nil
+}
+
+// Load reads the load report.
+func (c *HTTPClient) Load(ctx context.Context, target Target) (Load, error) {
+	var answer wire.Load
+	if err := c.control(ctx, target, http.MethodGet, wire.PathLoad, nil, &answer); err != nil {
+		return Load{}, errors.Wrapf(err, "load of %q", target.ID)
+	}
+	return Load{
+		InFlight: answer.InFlight, Queued: answer.Queued, Connections: answer.Connections, StartID: answer.StartID,
+	}, nil
+}
+
+func wireGrants(grants []Grant) []wire.Grant {
+	encoded := make([]wire.Grant, 0, len(grants))
+	for _, g := range grants {
+		encoded = append(encoded, wire.Grant{
+			Service: string(g.Service), Partition: uint32(g.Partition), Epoch: uint64(g.Epoch),
+		})
+	}
+	return encoded
+}
+
+// control sends one control request. The answer is decoded into answer unless that is nil.
+func (c *HTTPClient) control(ctx context.Context, target Target, method, path string, body, answer any) error {
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return errors.Wrap(err, "encode control request")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target.Address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return errors.Wrap(err, "make control request")
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	preventReplay(req)
+	resp, err := c.line(target).control.RoundTrip(req)
+	if err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	defer func() { _ = resp.Body.Close() }() // the body has been read or the connection is given up
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	if err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return controlError(resp.StatusCode, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return errors.Join(ErrUnreachable, errors.Wrap(err, "decode control answer"))
+	}
+	return nil
+}
+
+func controlError(status int, data []byte) error {
+	var body wire.Error
+	if err := json.Unmarshal(data, &body); err != nil {
+		return errors.Wrapf(ErrUnreachable, "status %d", status)
+	}
+	switch body.Code {
+	case wire.CodeOutdatedTerm:
+		return errors.Wrap(ErrOutdatedTerm, body.Error)
+	case wire.CodeRunning:
+		return errors.Wrap(ErrStillRunning, body.Error)
+	default:
+		return errors.Wrapf(ErrUnreachable, "status %d: %s", status, body.Error)
+	}
+}
