--- /dev/null
+++ b/internal/decide/outcome/transfer.go
@@ -0,0 +1,132 @@
+package outcome
+
+import (
+	"slices"
+	"time"
+)
+
+// Import merges what other instances know. Of several records of a key the newest counts. A record that says running
+// becomes unknown, because its primary is no longer the one to report the end.
+func (m *Memory) Import(records []Record, now time.Duration) {
+	for key, r := range newest(records) {
+		if r.State == StateForgotten || r.Age >= m.limits.Window {
+			continue
+		}
+		old, ok := m.entries[key]
+		if ok && (old.local || !old.version.Less(r.Version)) {
+			continue
+		}
+		if ok {
+			m.drop(old)
+		}
+		m.insert(r, now)
+	}
+}
+
+// insert adds a record of a request that does not run in this process. It ignores the bound on keys, since losing a key
+// would let its repeat run; the window still bounds it.
+func (m *Memory) insert(r Record, now time.Duration) {
+	e := &entry{
+		key:         r.Key,
+		fingerprint: r.Fingerprint,
+		partition:   r.Partition,
+		state:       r.State,
+		version:     r.Version,
+		at:          now - r.Age,
+	}
+	if e.state == StateRunning {
+		e.state = StateUnknown
+	}
+	m.entries[r.Key] = e
+	m.ages.add(e.at, e)
+	if r.Answer != nil {
+		m.keep(e, r.Answer)
+	}
+}
+
+// newest keeps the newest record of each key.
+func newest(records []Record) map[Key]Record {
+	best := make(map[Key]Record, len(records))
+	for _, r := range records {
+		if r.State > StateForgotten {
+			continue
+		}
+		old, ok := best[r.Key]
+		if !ok || old.Version.Less(r.Version) {
+			best[r.Key] = r
+		}
+	}
+	return best
+}
+
+// Export returns the records of the partitions with their horizons. Nil means all partitions.
+func (m *Memory) Export(partitions []PartitionKey, now time.Duration) []Record {
+	m.expire(now)
+	wanted := filter(partitions)
+	records := make([]Record, 0, len(m.entries))
+	for _, e := range m.entries {
+		if wanted(PartitionKey{e.key.Service, e.partition}) {
+			records = append(records, e.record(now))
+		}
+	}
+	for p, h := range m.since {
+		if wanted(p) {
+			records = append(records, h.record(p, now))
+		}
+	}
+	return records
+}
+
+func filter(partitions []PartitionKey) func(PartitionKey) bool {
+	if partitions == nil {
+		return func(PartitionKey) bool { return true }
+	}
+	set := make(map[PartitionKey]struct{}, len(partitions))
+	for _, p := range partitions {
+		set[p] = struct{}{}
+	}
+	return func(p PartitionKey) bool {
+		_, ok := set[p]
+		return ok
+	}
+}
+
+// Horizon returns the time since which the instances of a lease group together have every at-most-once request.
+//
+// Each request is recorded at its primary and at one more member before it is sent. It is therefore still known if at most
+// one member has lost its memory. Since holds for each member of the group the time since which it has everything that
+// it was given: its start, or now if it does not answer. The record of a horizon that an earlier primary found counts
+// as well: it limits the result.
+func Horizon(since []time.Duration, records []Record, p PartitionKey, now time.Duration) time.Duration {
+	group := time.Duration(0)
+	sorted := slices.Clone(since)
+	slices.Sort(sorted)
+	switch n := len(sorted); n {
+	case 0:
+		group = now
+	case 1:
+		group = sorted[0]
+	default:
+		group = sorted[n-2]
+	}
+	inherited, ok := inheritedHorizon(records, p)
+	if !ok {
+		return group
+	}
+	return max(group, now-inherited.Age)
+}
+
+// inheritedHorizon returns the newest horizon record of the partition.
+func inheritedHorizon(records []Record, p PartitionKey) (Record, bool) {
+	var best Record
+	found := false
+	for _, r := range records {
+		if r.State != StateHorizon || r.PartitionKey() != p {
+			continue
+		}
+		if !found || best.Version.Less(r.Version) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
