--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -117,6 +117,9 @@
 	Slots int
 	// Stamp is the reading of the back end's monotonic clock in milliseconds when it answered.
 	Stamp uint64
+	// Lapses counts how often the session has lapsed since the start. A back end forgets its grants at a lapse, so a new
+	// number means that they must be sent again.
+	Lapses uint64
 }
 
 // Errors of control requests.
@@ -164,7 +167,8 @@
 	RenewSession(ctx context.Context, target Target, s Session) (SessionStatus, error)
 	// Grant adds partitions to those that the back end may serve. Repeating a grant changes nothing.
 	Grant(ctx context.Context, target Target, term entity.Term, grants []Grant) error
-	// Revoke withdraws partitions. After it returns nil, the back end runs nothing for them and starts nothing for them.
+	// Revoke withdraws partitions. After it returns nil, the back end runs nothing for them and starts nothing for them,
+	// also if a grant of the same or an older epoch arrives late.
 	Revoke(ctx context.Context, target Target, term entity.Term, grants []Grant) error
 	Health(ctx context.Context, target Target) (Health, error)
 	Load(ctx context.Context, target Target) (Load, error)
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -29,22 +29,27 @@
 		return SessionStatus{}, errors.Wrapf(ErrUnreachable, "session status of %q without start id", target.ID)
 	}
 	return SessionStatus{
-		StartID: answer.StartID, Term: entity.Term(answer.Term), Slots: answer.Slots, Stamp: answer.Stamp,
+		StartID: answer.StartID, Term: entity.Term(answer.Term), Slots: answer.Slots,
+		Stamp: answer.Stamp, Lapses: answer.Lapses,
 	}, nil
 }
 
 // Grant adds partitions.
 func (c *HTTPClient) Grant(ctx context.Context, target Target, term entity.Term, grants []Grant) error {
 	body := wire.Grants{Term: uint64(term), Grant: wireGrants(grants)}
-	err := c.control(ctx, target, http.MethodPut, wire.PathGrants, body, nil)
-	return errors.Wrapf(err, "grant to %q", target.ID)
+	if err := c.control(ctx, target, http.MethodPut, wire.PathGrants, body, nil); err != nil {
+		return errors.Wrapf(err, "grant to %q", target.ID)
+	}
+	return nil
 }
 
 // Revoke withdraws partitions.
 func (c *HTTPClient) Revoke(ctx context.Context, target Target, term entity.Term, grants []Grant) error {
 	body := wire.Grants{Term: uint64(term), Revoke: wireGrants(grants)}
-	err := c.control(ctx, target, http.MethodPut, wire.PathGrants, body, nil)
-	return errors.Wrapf(err, "revoke from %q", target.ID)
+	if err := c.control(ctx, target, http.MethodPut, wire.PathGrants, body, nil); err != nil {
+		return errors.Wrapf(err, "revoke from %q", target.ID)
+	}
+	return nil
 }
 
 // Health reads the health report.
--- a/internal/backend/fake.go
+++ b/internal/backend/fake.go
@@ -69,6 +69,7 @@
 	status  SessionStatus
 	until   time.Duration
 	granted map[Grant]bool
+	revoked map[Grant]entity.Epoch // by grant without epoch
 	calls   []FakeCall
 	queue   []func()
 	lose    map[FakeKind]bool
@@ -82,7 +83,11 @@
 	b, ok := f.backends[id]
 	if !ok {
 		b = &FakeBackend{
-			fake: f, status: SessionStatus{StartID: string(id)}, granted: map[Grant]bool{}, lose: map[FakeKind]bool{},
+			fake:    f,
+			status:  SessionStatus{StartID: string(id)},
+			granted: map[Grant]bool{},
+			revoked: map[Grant]entity.Epoch{},
+			lose:    map[FakeKind]bool{},
 		}
 		f.backends[id] = b
 	}
@@ -123,6 +128,7 @@
 	b.mode, b.queue, b.until = FakeUp, nil, 0
 	b.status = SessionStatus{StartID: startID, Slots: slots}
 	b.granted = map[Grant]bool{}
+	b.revoked = map[Grant]entity.Epoch{}
 }
 
 // LoseAnswers makes calls of a kind take effect and fail, or not.
@@ -190,10 +196,11 @@
 		if s.Term < b.status.Term {
 			return ErrOutdatedTerm
 		}
+		b.lapse()
 		b.status.Term = s.Term
 		b.status.Stamp = uint64(f.now().Milliseconds())
 		if s.StartID == b.status.StartID {
-			b.until = max(b.until, time.Duration(s.Stamp)*time.Millisecond+s.TTL)
+			b.extend(time.Duration(s.Stamp)*time.Millisecond + s.TTL)
 		}
 		status = b.status
 		return nil
@@ -208,6 +215,7 @@
 func (f *Fake) Grant(ctx context.Context, target Target, term entity.Term, grants []Grant) error {
 	b := f.Backend(target.ID)
 	return b.control(ctx, FakeCall{Kind: FakeGrant, Term: term, Grants: grants}, func() error {
+		b.lapse()
 		return b.setGrants(term, grants, true)
 	})
 }
@@ -242,16 +250,35 @@
 	return l, err
 }
 
+// extend moves the end of the session to until, if that is later and not over. The caller holds the lock.
+func (b *FakeBackend) extend(until time.Duration) {
+	if until > b.fake.now() {
+		b.until = max(b.until, until)
+	}
+}
+
+// lapse forgets the grants if the session has ended. The caller holds the lock.
+func (b *FakeBackend) lapse() {
+	if b.until > 0 && b.fake.now() >= b.until {
+		b.until = 0
+		b.granted = map[Grant]bool{}
+		b.status.Lapses++
+	}
+}
+
 // setGrants changes the grants. The caller holds the lock.
 func (b *FakeBackend) setGrants(term entity.Term, grants []Grant, granted bool) error {
 	if term < b.status.Term {
 		return ErrOutdatedTerm
 	}
 	for _, g := range grants {
-		if granted {
-			b.granted[g] = true
-		} else {
+		place := Grant{Service: g.Service, Partition: g.Partition}
+		switch {
+		case !granted:
 			delete(b.granted, g)
+			b.revoked[place] = max(b.revoked[place], g.Epoch)
+		case g.Epoch > b.revoked[place]:
+			b.granted[g] = true
 		}
 	}
 	return nil
--- a/internal/backend/wire/wire.go
+++ b/internal/backend/wire/wire.go
@@ -58,6 +58,7 @@
 	Term    uint64 `json:"term"`
 	Slots   int    `json:"slots"`
 	Stamp   uint64 `json:"stamp"`
+	Lapses  uint64 `json:"lapses"`
 }
 
 // Grant is one partition in a Grants.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -37,7 +37,7 @@
 	t.Run("http", func(t *testing.T) {
 		server, err := standin.Start("127.0.0.1:0", standin.Options{KeepCount: kept})
 		require.NoError(t, err)
-		defer server.Close()
+		defer func() { require.NoError(t, server.Close()) }()
 		client := newClient(t, unusedAddress(t), server.Address())
 		faults := func(f platform.Faults) {
 			s := standin.Faults{Outage: f.Unavailable, FreezeList: f.FreezeList, LatencyMs: int(f.Delay.Milliseconds())}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -102,7 +102,10 @@
 	s.stop()
 	err := s.http.Close()
 	<-s.done
-	return errors.Wrap(err, "close the platform stand-in")
+	if err != nil {
+		return errors.Wrap(err, "close the platform stand-in")
+	}
+	return nil
 }
 
 // SetFaults replaces the faults, as PUT /faults does.
