--- /dev/null
+++ b/internal/service/backends/service.go
@@ -0,0 +1,123 @@
+// Package backends is the service named "backends": it makes the client of the back ends from the settings and counts and
+// logs failures.
+package backends
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/backend"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// Settings configures the service.
+type Settings struct {
+	backend.ClientSettings
+}
+
+// Service reaches the back ends. It adds counts and log events to the HTTP client, from which it has the control calls.
+type Service struct {
+	*backend.HTTPClient
+	logger   *zap.Logger
+	requests metrics.Timer // nanoseconds until the head of the answer
+	failures map[backend.FailureKind]metrics.Counter
+	broken   metrics.Counter
+}
+
+var (
+	_ kernel.Service  = (*Service)(nil)
+	_ kernel.Cleaner  = (*Service)(nil)
+	_ backend.Client  = (*Service)(nil)
+	_ backend.Limiter = (*Service)(nil)
+)
+
+// New returns the service.
+func New(settings Settings, logger *zap.Logger, registry metrics.Registry) *Service {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, registry) }
+	return &Service{
+		HTTPClient: backend.NewHTTPClient(settings.ClientSettings),
+		logger:     logger,
+		requests:   metrics.GetOrRegisterTimer("backends.requests", registry),
+		failures: map[backend.FailureKind]metrics.Counter{
+			backend.FailureNotSent:  counter("backends.failures.not-sent"),
+			backend.FailureShed:     counter("backends.failures.shed"),
+			backend.FailureFenced:   counter("backends.failures.fenced"),
+			backend.FailureBroken:   counter("backends.failures.broken"),
+			backend.FailureMismatch: counter("backends.failures.mismatch"),
+		},
+		broken: counter("backends.answers.broken"),
+	}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() kernel.Name { return service.Backends }
+
+// Needs returns nothing.
+func (s *Service) Needs() []kernel.Name { return nil }
+
+// Provision does nothing.
+func (s *Service) Provision(*kernel.Resolver) error { return nil }
+
+// Start does nothing: connections are made by requests.
+func (s *Service) Start(context.Context) error { return nil }
+
+// Stop does nothing: running requests end by their contexts.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Cleanup closes the connections.
+func (s *Service) Cleanup() { s.Close() }
+
+// Do sends a request at most once.
+func (s *Service) Do(ctx context.Context, target backend.Target, call *backend.Call) (*backend.Answer, error) {
+	defer s.requests.UpdateSince(time.Now())
+	answer, err := s.HTTPClient.Do(ctx, target, call)
+	if err != nil {
+		s.observe(target, call, err)
+		return nil, err
+	}
+	answer.Body = &watchedBody{ReadCloser: answer.Body, ctx: ctx, service: s, backend: target.ID, request: call.RequestID}
+	return answer, nil
+}
+
+// observe counts a failure and logs it if it is a fault of the back end.
+func (s *Service) observe(target backend.Target, call *backend.Call, err error) {
+	var failure *backend.Failure
+	if !errors.As(err, &failure) {
+		return
+	}
+	s.failures[failure.Kind].Inc(1)
+	if failure.Kind == backend.FailureMismatch {
+		telemetry.EventAnswerMismatch.Log(s.logger, zap.String("backend", string(target.ID)),
+			zap.String("request", call.RequestID), zap.Error(failure.Cause))
+	}
+}
+
+// watchedBody counts and logs an answer that breaks off while somebody still wants it.
+type watchedBody struct {
+	io.ReadCloser
+	ctx     context.Context
+	service *Service
+	backend entity.BackendID
+	request string
+	seen    bool
+}
+
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil || errors.Is(err, io.EOF) || b.seen || b.ctx.Err() != nil {
+		return n, err
+	}
+	b.seen = true
+	b.service.broken.Inc(1)
+	telemetry.EventAnswerTruncated.Log(b.service.logger, zap.String("backend", string(b.backend)),
+		zap.String("request", b.request), zap.Error(err))
+	return n, err
+}
