--- a/internal/records/decode.go
+++ b/internal/records/decode.go
@@ -84,11 +84,19 @@
 }
 
 func names[T ~string](d *decoder, field string, list []string) []T {
-	var ids []T
-	for _, text := range list {
-		ids = append(ids, name[T](d, field, text))
+	return each(list, func(text string) T { return name[T](d, field, text) })
+}
+
+// each converts a list. An empty list becomes nil, as in records that were never encoded.
+func each[A, B any](list []A, convert func(A) B) []B {
+	if len(list) == 0 {
+		return nil
 	}
-	return ids
+	result := make([]B, 0, len(list))
+	for _, item := range list {
+		result = append(result, convert(item))
+	}
+	return result
 }
 
 func (d *decoder) record(m *pb.Record) ownership.Record {
@@ -201,11 +209,7 @@
 
 func (d *decoder) hashes(list []uint64) []entity.KeyHash {
 	d.check(len(list) <= ownership.MaxHotKeys, "%d hot keys", len(list))
-	var hashes []entity.KeyHash
-	for _, hash := range list {
-		hashes = append(hashes, entity.KeyHash(hash))
-	}
-	return hashes
+	return each(list, func(hash uint64) entity.KeyHash { return entity.KeyHash(hash) })
 }
 
 func (d *decoder) zoneLost(m *pb.ZoneLost) ownership.Record {
@@ -237,10 +241,8 @@
 }
 
 func (d *decoder) shares(list []*pb.ZoneShare) []ownership.ZoneShare {
-	var shares []ownership.ZoneShare
-	for _, s := range list {
+	return each(list, func(s *pb.ZoneShare) ownership.ZoneShare {
 		d.check(s.GetShare() <= ownership.ShareTotal, "share %d", s.GetShare())
-		shares = append(shares, ownership.ZoneShare{Zone: name[entity.Zone](d, "zone", s.GetZone()), Share: s.GetShare()})
-	}
-	return shares
+		return ownership.ZoneShare{Zone: name[entity.Zone](d, "zone", s.GetZone()), Share: s.GetShare()}
+	})
 }
