--- a/internal/peer/forward_client.go
+++ b/internal/peer/forward_client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,15 +44,11 @@
 		cancel()
 		return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, err.Error())}
 	}
-	var sending sync.WaitGroup
 	if !head.GetComplete() {
-		sending.Go(func() { sendBody(stream, req.Body, cancel) })
+		// Not waited for: the caller of a refused request may still be slow to send its body.
+		go sendBody(stream, req.Body, cancel)
 	}
-	finish := func() {
-		cancel()
-		sending.Wait()
-	}
-	return receiveAnswer(stream, req.ID, finish)
+	return receiveAnswer(stream, req.ID, cancel)
 }
 
 // inlineBody puts the body into the head if its length is known and small.
--- /dev/null
+++ b/internal/service/gateway/gateway.go
@@ -0,0 +1,179 @@
+// Package gateway takes the callers' HTTP requests, checks the customer's key and rate, and sends each request to the
+// primary of the owner of its key.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// Settings of the gateway.
+type Settings struct {
+	// Listen is the address of the callers' listener, host:port.
+	Listen string
+	// ListenInternal is the address of the listener for internal routes, host:port. Empty means none.
+	ListenInternal string
+	// KeyStaleness is how old the proof of the newest configuration may be on routes open to all.
+	KeyStaleness time.Duration
+	// StopDelay is the time between reporting not ready and refusing connections in a planned stop, so that the
+	// balancer notices.
+	StopDelay time.Duration
+	// DrainTimeout bounds the wait for running requests in a planned stop.
+	DrainTimeout time.Duration
+}
+
+// maxInFlight bounds the requests inside one gateway. Each holds at most 64 KiB of replayable body.
+const maxInFlight = 4096
+
+// readHeaderTimeout ends connections that do not send their headers.
+const readHeaderTimeout = 10 * time.Second
+
+// Gateway is the service named gateway.
+type Gateway struct {
+	settings  Settings
+	self      service.Self
+	log       *zap.Logger
+	metrics   *meters
+	kernel    *kernel.Kernel
+	routing   service.RoutingSource
+	config    service.ConfigSource
+	leases    service.LeaseSource
+	admission service.Admitter
+	dispatch  service.Dispatcher
+	forward   service.Forwarder
+
+	open, internal *listener
+	slots          chan struct{}
+	hints          sync.Map // entity.BackendID to entity.InstanceID: the last known primary
+	stopping       atomic.Bool
+}
+
+// listener is one HTTP server with its bound address.
+type listener struct {
+	server *http.Server
+	socket net.Listener
+}
+
+// New returns the service.
+func New(self service.Self, settings Settings, log *zap.Logger, registry metrics.Registry) *Gateway {
+	return &Gateway{
+		self:     self,
+		settings: settings,
+		log:      log,
+		metrics:  newMeters(registry),
+		slots:    make(chan struct{}, maxInFlight),
+	}
+}
+
+// Name implements kernel.Service.
+func (g *Gateway) Name() kernel.Name { return service.Gateway }
+
+// Needs implements kernel.Service.
+func (g *Gateway) Needs() []kernel.Name {
+	return []kernel.Name{
+		service.Routing, service.Config, service.Lease, service.Admission, service.Dispatch, service.Peers,
+		service.PeerServer,
+	}
+}
+
+// Provision implements kernel.Service.
+func (g *Gateway) Provision(r *kernel.Resolver) error {
+	g.kernel = r.Kernel()
+	var err error
+	if g.routing, err = kernel.Lookup[service.RoutingSource](r, service.Routing); err != nil {
+		return err
+	}
+	if g.config, err = kernel.Lookup[service.ConfigSource](r, service.Config); err != nil {
+		return err
+	}
+	if g.leases, err = kernel.Lookup[service.LeaseSource](r, service.Lease); err != nil {
+		return err
+	}
+	if g.admission, err = kernel.Lookup[service.Admitter](r, service.Admission); err != nil {
+		return err
+	}
+	if g.dispatch, err = kernel.Lookup[service.Dispatcher](r, service.Dispatch); err != nil {
+		return err
+	}
+	g.forward, err = kernel.Lookup[service.Forwarder](r, service.Peers)
+	return err
+}
+
+// Start opens the listeners.
+func (g *Gateway) Start(ctx context.Context) error {
+	var err error
+	if g.open, err = g.listen(ctx, g.settings.Listen, operator.AccessOpen); err != nil {
+		return err
+	}
+	if g.settings.ListenInternal == "" {
+		return nil
+	}
+	g.internal, err = g.listen(ctx, g.settings.ListenInternal, operator.AccessInternal)
+	return err
+}
+
+// listen starts an HTTP server for the routes of one access kind.
+func (g *Gateway) listen(ctx context.Context, address string, access operator.RouteAccess) (*listener, error) {
+	var config net.ListenConfig
+	socket, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s routes", access)
+	}
+	engine := gin.New()
+	engine.NoRoute(func(c *gin.Context) { g.handle(c, access) })
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: readHeaderTimeout}
+	telemetry.EventListening.Log(g.log, zap.String("access", string(access)), zap.Stringer("address", socket.Addr()))
+	go func() {
+		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			telemetry.EventListenerFailed.Log(g.log, zap.Error(err))
+		}
+	}()
+	return &listener{server: server, socket: socket}, nil
+}
+
+// Ready reports whether the balancer should send callers here.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.open != nil && g.routing.Routing() != nil && g.config.ConfigStatus() != nil
+}
+
+// Address returns the bound address of the callers' listener.
+func (g *Gateway) Address() string { return g.open.socket.Addr().String() }
+
+// Stop reports not ready, waits for the balancer to notice and for the running requests to end.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.stopping.Store(true)
+	select {
+	case <-time.After(g.settings.StopDelay):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.settings.DrainTimeout)
+	defer cancel()
+	var failed error
+	for _, l := range []*listener{g.open, g.internal} {
+		if l == nil {
+			continue
+		}
+		if err := l.server.Shutdown(ctx); err != nil {
+			telemetry.EventGatewayCutOff.Log(g.log, zap.Error(err))
+			failed = errors.Join(failed, err, l.server.Close())
+		}
+	}
+	if failed == nil {
+		telemetry.EventGatewayDrained.Log(g.log)
+	}
+	return failed
+}
--- a/internal/telemetry/catalogue_process.go
+++ b/internal/telemetry/catalogue_process.go
@@ -10,4 +10,5 @@
 	EventStopped         = define(1003, zapcore.InfoLevel, "instance stopped")
 	EventInvariantBroken = define(1004, zapcore.FatalLevel, "invariant broken, process ends")
 	EventStartFailed     = define(1005, zapcore.ErrorLevel, "instance failed to start")
+	EventSpan            = define(1010, zapcore.InfoLevel, "span ended")
 )
--- /dev/null
+++ b/internal/telemetry/trace.go
@@ -0,0 +1,58 @@
+package telemetry
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.uber.org/zap"
+)
+
+// StartTracing installs a tracer provider that writes every finished span as log event 1010. The returned function flushes
+// and ends it.
+func StartTracing(log *zap.Logger) func(context.Context) error {
+	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(spanLogger{log}))
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown
+}
+
+// spanLogger exports spans as log lines, so that a deployment without a trace collector still has its traces.
+type spanLogger struct{ log *zap.Logger }
+
+// ExportSpans implements sdktrace.SpanExporter.
+func (s spanLogger) ExportSpans(_ context.Context, spans []sdktrace.ReadOnlySpan) error {
+	for _, span := range spans {
+		fields := []zap.Field{
+			zap.String("span", span.Name()),
+			zap.Stringer("trace", span.SpanContext().TraceID()),
+			zap.Stringer("id", span.SpanContext().SpanID()),
+			zap.Stringer("parent", span.Parent().SpanID()),
+			zap.Duration("took", span.EndTime().Sub(span.StartTime())),
+		}
+		for _, attr := range span.Attributes() {
+			fields = append(fields, zap.String(string(attr.Key), attr.Value.String()))
+		}
+		EventSpan.Log(s.log, fields...)
+	}
+	return nil
+}
+
+// Shutdown implements sdktrace.SpanExporter.
+func (s spanLogger) Shutdown(context.Context) error { return nil }
+
+// NewLogger returns a logger that writes JSON lines to standard error. Level is debug, info, warn or error.
+func NewLogger(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, errors.Wrapf(err, "log level %q", level)
+	}
+	config.Level = parsed
+	config.Sampling = nil // every event counts, the hot path logs at debug only
+	log, err := config.Build()
+	if err != nil {
+		return nil, errors.Wrap(err, "build logger")
+	}
+	return log, nil
+}
