Add lease service with heartbeats, freshness and zone authority

Cause: primaries, delegates and token servers must be known to traffic without asking the log, and a zone must know whether it may go on without it. Ruled out: one identity per zone for its successive delegates (a late release of the old delegate ended the holding of the new one; the longer random runs found two holders), listing granted claims in answers (8.5 KB/s per instance), and moving names between lease groups when a group appears, since the old and the new group share no voter. Change: heartbeats every 100 ms among the lease group and between the zones' delegates carry the sender's claims, its offsets, and the ages of its proofs of freshness and authority; proofs are relayed only in answers and counted from the time the heartbeat was sent. The delegates claim the authority of a silent zone; a held foreign authority is the proof for control that the zone's own has ended, and HeldLease.Since says since when.

--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -31,15 +31,20 @@
 // Holder is the state of one possible holder: the names it claims and holds. Invariant: a held name was promised by a
 // majority of a roster, and until is at most TTL after those claims were sent.
 type Holder struct {
-	self    Member
-	timing  Timing
-	roster  Roster
-	started time.Duration
-	heard   map[Member]time.Duration
-	leaving map[Member]bool
-	stopped bool
-	retired bool
-	names   map[Name]*holding
+	self Member
+	// claimant is the name under which this process claims. It differs from self where the member is a zone, so that a late
+	// release of one delegate cannot end the holding of its successor.
+	claimant Member
+	timing   Timing
+	roster   Roster
+	started  time.Duration
+	heard    map[Member]time.Duration
+	leaving  map[Member]bool
+	stopped  bool
+	retired  bool
+	names    map[Name]*holding
+	// own is the name that no other live member should hold.
+	own Name
 	// droppedTerm is the highest term used for names that are no longer wanted.
 	droppedTerm entity.Term
 }
@@ -78,10 +83,11 @@
 	Lost     []Name
 }
 
-// NewHolder returns a holder that starts at now. It claims nothing for one TTL, while it learns who is alive.
-func NewHolder(now time.Duration, self Member, timing Timing) *Holder {
+// NewHolder returns the holder of a member that starts at now. The claimant is unique to this process start. It claims
+// nothing for one TTL, while it learns who is alive.
+func NewHolder(now time.Duration, self, claimant Member, timing Timing) *Holder {
 	return &Holder{
-		self: self, timing: timing, started: now,
+		self: self, claimant: claimant, timing: timing, started: now,
 		heard: map[Member]time.Duration{}, leaving: map[Member]bool{}, names: map[Name]*holding{},
 	}
 }
@@ -154,6 +160,9 @@
 	return effects
 }
 
+// Own names the lease of the member itself, which it claims whatever its rank: a zone's own authority.
+func (h *Holder) Own(name Name) { h.own = name }
+
 // Leave marks this holder as leaving: it renews what it holds and claims nothing new.
 func (h *Holder) Leave() { h.retired = true }
 
@@ -225,7 +234,7 @@
 // answered handles a result for an attempt.
 func (h *Holder) answered(now time.Duration, n *holding, from Member, sentAt time.Duration, r Result, effects *Effects) {
 	switch {
-	case r.Holder != "" && r.Holder != h.self:
+	case r.Holder != "" && r.Holder != h.claimant:
 		h.refused(now, n, from, r.Name, effects)
 	case r.Term > n.term:
 		n.begin(now, n.lowest)
@@ -284,13 +293,15 @@
 // fail ends an attempt that found no majority in time.
 func (h *Holder) fail(now time.Duration, name Name, n *holding) Claim {
 	wait := min(failureRetries<<n.failures, maxFailureRetries) + 2*rank(name, h.self, h.roster.Members)
-	n.failures = min(n.failures+1, maxFailureRetries)
+	if name != h.own {
+		n.failures = min(n.failures+1, maxFailureRetries)
+	}
 	n.retryAt = now + time.Duration(wait)*h.timing.Heartbeat
 	return n.end(name)
 }
 
 func (h *Holder) newTerm(name Name, n *holding, own *Voter) entity.Term {
-	return max(n.lowest, n.term+1, h.droppedTerm+1, own.LowestTerm(name, h.self), entity.Term(h.roster.Version*termsPerVersion+1))
+	return max(n.lowest, n.term+1, h.droppedTerm+1, own.LowestTerm(name, h.claimant), entity.Term(h.roster.Version*termsPerVersion+1))
 }
 
 // mayBegin reports whether to claim a name that this holder does not hold.
@@ -298,9 +309,12 @@
 	if h.retired || !n.wanted || now < n.retryAt || now-h.started < h.timing.TTL {
 		return false
 	}
-	if holder := own.Holder(name, now); holder != "" && holder != h.self {
+	if holder := own.Holder(name, now); holder != "" && holder != h.claimant {
 		return false
 	}
+	if name == h.own {
+		return true
+	}
 	before := rank(name, h.self, candidates)
 	passedOver := min(own.FreeFor(name, now), now-n.wantedAt)
 	return before == 0 || passedOver >= time.Duration(passOverTTLs*before)*h.timing.TTL
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -58,7 +58,7 @@
 type Result struct {
 	Name    Name
 	Granted bool
-	// Holder is the member to which the name is promised; empty if it is free or the voter does not vote.
+	// Holder is the claimant to which the name is promised; empty if it is free.
 	Holder Member
 	// Term is the claimed term or, if that is too low for a new holding, the lowest that the voter accepts for one.
 	Term entity.Term
--- a/internal/decide/lease/participant.go
+++ b/internal/decide/lease/participant.go
@@ -7,11 +7,16 @@
 	Holder *Holder
 	Voter  *Voter
 	self   Member
+	// claimant is the name under which this process claims.
+	claimant Member
 }
 
-// NewParticipant returns a participant that starts at now.
-func NewParticipant(now time.Duration, self Member, timing Timing, settings VoterSettings) *Participant {
-	return &Participant{Holder: NewHolder(now, self, timing), Voter: NewVoter(now, settings), self: self}
+// NewParticipant returns the participant of a member that starts at now. The claimant is unique to this process start; where
+// instances are the members, it is the member itself.
+func NewParticipant(now time.Duration, self, claimant Member, timing Timing, settings VoterSettings) *Participant {
+	return &Participant{
+		Holder: NewHolder(now, self, claimant, timing), Voter: NewVoter(now, settings), self: self, claimant: claimant,
+	}
 }
 
 // SetRoster replaces the roster.
@@ -25,14 +30,14 @@
 	effects := p.Holder.Tick(now, p.Voter)
 	p.voteOnReleases(now, effects.Releases)
 	claims := effects.Claims
-	results := p.Vote(now, p.self, p.Holder.Roster().Version, claims)
+	results := p.Vote(now, p.claimant, p.Holder.Roster().Version, claims)
 	answered := p.Holder.Answer(now, p.self, now, claims, results)
 	p.voteOnReleases(now, answered.Releases)
 	effects.merge(answered)
 	return effects
 }
 
-// Vote answers the claims of a member.
+// Vote answers claims. From is the claimant.
 func (p *Participant) Vote(now time.Duration, from Member, version uint64, claims []Claim) []Result {
 	results := make([]Result, 0, len(claims))
 	for _, c := range claims {
@@ -74,7 +79,7 @@
 // voteOnReleases frees the own promises. Releases count whatever the roster version is.
 func (p *Participant) voteOnReleases(now time.Duration, releases []Claim) {
 	for _, c := range releases {
-		p.Voter.Claim(now, p.self, p.Voter.Version(), c)
+		p.Voter.Claim(now, p.claimant, p.Voter.Version(), c)
 	}
 }
 
--- a/internal/decide/lease/sim_test.go
+++ b/internal/decide/lease/sim_test.go
@@ -50,6 +50,7 @@
 
 type node struct {
 	id          lease.Member
+	claimant    lease.Member // changes with each restart, like the identity of a process
 	p           *lease.Participant
 	rate        float64
 	offset      time.Duration
@@ -117,7 +118,8 @@
 // boot starts a node with empty memory.
 func (s *sim) boot(n *node) {
 	n.incarnation++
-	n.p = lease.NewParticipant(n.clock(s.now), n.id, timing, s.f.voter)
+	n.claimant = lease.Member(fmt.Sprintf("%s.%d", n.id, n.incarnation))
+	n.p = lease.NewParticipant(n.clock(s.now), n.id, n.claimant, timing, s.f.voter)
 	n.p.Want(n.clock(s.now), s.names)
 	s.adopt(n, n.version)
 	incarnation := n.incarnation
@@ -220,7 +222,7 @@
 
 // send carries claims to all other members, with loss, delay and duplicates on the way and back.
 func (s *sim) send(from *node, claims []lease.Claim) {
-	sentAt, version := from.clock(s.now), s.rosters[from.version].Version
+	sentAt, version, claimant := from.clock(s.now), s.rosters[from.version].Version, from.claimant
 	for _, to := range s.nodes {
 		if to == from {
 			continue
@@ -229,7 +231,7 @@
 			s.deliver(to, s.delay(), func() {
 				now := to.clock(s.now)
 				to.p.Holder.Heard(now, from.id, false)
-				results := to.p.Vote(now, from.id, version, claims)
+				results := to.p.Vote(now, claimant, version, claims)
 				for range s.copies() {
 					s.deliver(from, s.delay(), func() { s.answer(from, to, sentAt, claims, results) })
 				}
@@ -307,5 +309,5 @@
 func (s *sim) vote(n, voter *node) {
 	sentAt, version := n.clock(s.now), s.rosters[0].Version
 	claims := n.p.Tick(sentAt).Claims
-	n.p.Answer(sentAt, voter.id, sentAt, claims, voter.p.Vote(voter.clock(s.now), n.id, version, claims))
+	n.p.Answer(sentAt, voter.id, sentAt, claims, voter.p.Vote(voter.clock(s.now), n.claimant, version, claims))
 }
--- a/internal/decide/lease/voter.go
+++ b/internal/decide/lease/voter.go
@@ -54,7 +54,7 @@
 // Version returns the roster version.
 func (v *Voter) Version() uint64 { return v.version }
 
-// Claim handles one claim of a member that was made with the given roster version.
+// Claim handles one claim of a claimant that was made with the given roster version.
 func (v *Voter) Claim(now time.Duration, from Member, version uint64, c Claim) Result {
 	p := v.lookup(c.Name)
 	refused := Result{Name: c.Name, Holder: p.holderAt(now), Term: p.lowestTerm(from)}
--- /dev/null
+++ b/internal/service/lease/heartbeat.go
@@ -0,0 +1,255 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/lease"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// maxInFlight bounds the unanswered heartbeats to one instance. It is one lease time of heartbeats; older answers are
+// worthless.
+const maxInFlight = 4
+
+// peer is what this instance knows of another one apart from leases.
+type peer struct {
+	inFlight int
+}
+
+// call is one heartbeat under way.
+type call struct {
+	to      entity.InstanceID
+	address string
+	zone    entity.Zone
+	sentAt  time.Duration
+	claims  []lease.Claim
+	final   bool // carries the releases of a planned stop
+}
+
+// stopping waits for the answers to the last releases.
+type stopping struct {
+	done []chan<- struct{}
+	left int
+}
+
+// heartbeat renews all claims and tells the others what this instance knows.
+func (s *Service) heartbeat(t *kernel.Turn) {
+	effects := s.group.Tick(t.Now())
+	s.noteGroup(t, effects)
+	s.heartbeatZones(t)
+	if s.view == nil {
+		return
+	}
+	s.sendToGroup(t, append(effects.Claims, effects.Releases...), false)
+	if s.key.Group != claimingGroup || !s.member {
+		s.sendToClaimingGroup(t)
+	}
+}
+
+// sendToGroup sends claims to the other members of the lease group.
+func (s *Service) sendToGroup(t *kernel.Turn, claims []lease.Claim, final bool) int {
+	if s.view == nil || !s.member {
+		return 0
+	}
+	sent := 0
+	for _, m := range s.view.Group(s.key) {
+		if m.ID == s.self.ID {
+			continue
+		}
+		if s.send(t, call{to: m.ID, address: m.Address, zone: m.Zone, claims: claims, final: final}) {
+			sent++
+		}
+	}
+	return sent
+}
+
+// sendToClaimingGroup lets an instance outside the zone's first group learn what that group relays, and be seen by it.
+func (s *Service) sendToClaimingGroup(t *kernel.Turn) {
+	for _, m := range s.view.Group(ownership.GroupKey{Zone: s.self.Zone, Group: claimingGroup}) {
+		s.send(t, call{to: m.ID, address: m.Address, zone: m.Zone})
+	}
+}
+
+// send starts one heartbeat. It reports false if too many to the same instance are unanswered.
+func (s *Service) send(t *kernel.Turn, c call) bool {
+	p := s.peer(c.to)
+	if p.inFlight >= maxInFlight && !c.final {
+		s.counters.skipped.Inc(1)
+		telemetry.EventHeartbeatSkipped.Log(s.log, zap.String("peer", string(c.to)))
+		return false
+	}
+	p.inFlight++
+	s.counters.sent.Inc(1)
+	c.sentAt = t.Now()
+	request := s.request(c)
+	sender, timeout := s.sender, s.settings.TTL
+	t.Go(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		response, err := sender.Heartbeat(ctx, c.address, request)
+		return heartbeatAnswered{call: c, response: response, err: err}
+	})
+	return true
+}
+
+func (s *Service) request(c call) service.HeartbeatRequest {
+	r := service.HeartbeatRequest{
+		Instance: s.self.ID, Zone: s.self.Zone, Group: s.key.Group,
+		RosterVersion: s.group.Holder.Roster().Version,
+		ControlOffset: s.evidence.offset, ConfigVersion: s.configVersion,
+		FreshnessAge: age(c.sentAt, s.evidence.freshAt), AuthorityAge: age(c.sentAt, s.evidence.authorityAt),
+		Claims: toClaims(c.claims), Leaving: s.leaving,
+	}
+	if c.zone != s.self.Zone {
+		r.RosterVersion = s.zoneRoster.Version
+	}
+	if !s.member {
+		r.Address = s.self.Address
+	}
+	return r
+}
+
+func (s *Service) peer(id entity.InstanceID) *peer {
+	p := s.peers[id]
+	if p == nil {
+		p = &peer{}
+		s.peers[id] = p
+	}
+	return p
+}
+
+// answered takes the answer to a heartbeat, or its failure.
+func (s *Service) answered(t *kernel.Turn, m heartbeatAnswered) {
+	if p := s.peers[m.call.to]; p != nil && p.inFlight > 0 {
+		p.inFlight--
+	}
+	defer s.answeredFinal(m.call)
+	if m.err != nil {
+		s.counters.failed.Inc(1)
+		return
+	}
+	s.counters.answered.Inc(1)
+	if m.response.Instance != m.call.to {
+		telemetry.EventPeerImpostor.Log(s.log, zap.String("peer", string(m.call.to)),
+			zap.String("instance", string(m.response.Instance)))
+		return
+	}
+	s.trust(t, m.call, m.response)
+}
+
+// trust uses an answer of the instance that was addressed.
+func (s *Service) trust(t *kernel.Turn, c call, r service.HeartbeatResponse) {
+	now := t.Now()
+	sameZone := c.zone == s.self.Zone
+	s.evidence.relayed(c.sentAt, r, sameZone)
+	s.sendPeerState(t, service.PeerState{
+		Instance: r.Instance, Zone: c.zone, Address: c.address, At: now,
+		ControlOffset: r.ControlOffset, ConfigVersion: r.ConfigVersion, Leaving: r.Leaving,
+	})
+	if !sameZone {
+		s.answeredByZone(t, c, r)
+		return
+	}
+	s.group.Holder.Heard(now, lease.Member(r.Instance), r.Leaving)
+	s.reported(t, r.Instance, r.RosterVersion)
+	if r.Voter == string(r.Instance) {
+		s.applyGroup(t, s.group.Answer(now, lease.Member(r.Instance), c.sentAt, c.claims, results(c.claims, r.Results)))
+	}
+}
+
+// received answers a heartbeat.
+func (s *Service) received(t *kernel.Turn, m service.HeartbeatReceived) {
+	now, req := t.Now(), m.Request
+	if s.view != nil {
+		s.sendPeerState(t, service.PeerState{
+			Instance: req.Instance, Zone: req.Zone, Address: s.addressOf(req), At: now,
+			ControlOffset: req.ControlOffset, ConfigVersion: req.ConfigVersion, Leaving: req.Leaving,
+		})
+	}
+	if c := s.contacts[req.Zone]; c != nil {
+		c.heardAt, c.instance, c.answered = now, req.Instance, now
+	}
+	r := service.HeartbeatResponse{
+		Instance: s.self.ID, RosterVersion: s.group.Holder.Roster().Version,
+		ControlOffset: s.evidence.offset, ConfigVersion: s.configVersion,
+		FreshnessAge: age(now, s.evidence.freshAt), AuthorityAge: age(now, s.evidence.authorityAt),
+		Delegate: s.delegate(now), Leaving: s.leaving,
+	}
+	s.vote(t, req, &r)
+	select {
+	case m.Reply <- r:
+	default: // the asker has given up
+	}
+}
+
+// vote adds the results of the vote that the claims ask for.
+func (s *Service) vote(t *kernel.Turn, req service.HeartbeatRequest, r *service.HeartbeatResponse) {
+	now := t.Now()
+	if req.Zone != s.self.Zone {
+		r.RosterVersion = s.zoneRoster.Version
+		if s.isDelegate(now) && s.zoneRoster.Contains(lease.Member(req.Zone)) {
+			s.voteForZone(now, req, r)
+		}
+		return
+	}
+	if !s.group.Holder.Roster().Contains(lease.Member(req.Instance)) {
+		return
+	}
+	s.group.Holder.Heard(now, lease.Member(req.Instance), req.Leaving)
+	s.reported(t, req.Instance, req.RosterVersion)
+	r.Voter = string(s.self.ID)
+	r.Results = toResults(req.Claims, s.group.Vote(now, lease.Member(req.Instance), req.RosterVersion, claims(req.Claims)))
+}
+
+// addressOf returns the peer address of a sender: members leave it to the roster.
+func (s *Service) addressOf(req service.HeartbeatRequest) string {
+	if req.Address != "" {
+		return req.Address
+	}
+	for _, m := range s.view.Members {
+		if m.ID == req.Instance {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// stop releases everything for a planned stop. The zone's authority is not released: the zone's other instances rely on it
+// until it lapses, and the next delegate claims it anew.
+func (s *Service) stop(t *kernel.Turn, done chan<- struct{}) {
+	s.leaving = true
+	s.zones = nil
+	effects := s.group.Stop(t.Now())
+	s.noteGroup(t, effects)
+	if s.stopping == nil {
+		s.stopping = &stopping{}
+	}
+	s.stopping.done = append(s.stopping.done, done)
+	s.stopping.left += s.sendToGroup(t, effects.Releases, true)
+	s.finishStop()
+}
+
+func (s *Service) answeredFinal(c call) {
+	if c.final && s.stopping != nil {
+		s.stopping.left--
+		s.finishStop()
+	}
+}
+
+func (s *Service) finishStop() {
+	if s.stopping == nil || s.stopping.left > 0 {
+		return
+	}
+	telemetry.EventLeasesStopped.Log(s.log)
+	for _, done := range s.stopping.done {
+		close(done)
+	}
+	s.stopping = nil
+}
--- /dev/null
+++ b/internal/service/lease/roster.go
@@ -0,0 +1,160 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/lease"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// claimingGroup is the lease group whose members hold the zone's leases. Names must not move between groups without a
+// record of the log that both groups have seen, so all names belong to the first group.
+const claimingGroup = 0
+
+// rosterReport collects which members have reported the roster version of the group.
+type rosterReport struct {
+	version uint64
+	members map[entity.InstanceID]bool
+	since   time.Duration
+	settled bool
+}
+
+func (s *Service) ownershipChanged(t *kernel.Turn, view *ownership.View) {
+	s.view = view
+	s.evidence.offset = max(s.evidence.offset, view.Offset)
+	key := ownership.GroupKey{Zone: s.self.Zone}
+	s.member = false
+	for _, m := range view.Members {
+		if m.ID == s.self.ID {
+			s.member, key.Group = true, m.Group
+		}
+	}
+	if key != s.key {
+		s.changeGroup(t, key)
+	}
+	roster := lease.Roster{Version: view.GroupVersions[key]}
+	for _, m := range view.Group(key) {
+		roster.Members = append(roster.Members, lease.Member(m.ID))
+	}
+	s.group.SetRoster(roster)
+	if s.report.version != roster.Version || s.report.members == nil {
+		s.report = rosterReport{version: roster.Version, members: map[entity.InstanceID]bool{}}
+	}
+	s.forgetPeers()
+	s.reported(t, s.self.ID, roster.Version)
+	s.want(t)
+}
+
+// changeGroup leaves one group for another. The vote starts anew there and promises nothing for the start wait.
+func (s *Service) changeGroup(t *kernel.Turn, key ownership.GroupKey) {
+	s.applyGroup(t, s.group.Stop(t.Now()))
+	s.key, s.report = key, rosterReport{}
+	s.group = s.newGroup(t.Now())
+}
+
+func (s *Service) forgetPeers() {
+	for id := range s.peers {
+		if !slices.ContainsFunc(s.view.Members, func(m ownership.Member) bool { return m.ID == id }) {
+			delete(s.peers, id)
+		}
+	}
+}
+
+// reported takes a member's roster version and tells control when a majority has the present one.
+func (s *Service) reported(t *kernel.Turn, id entity.InstanceID, version uint64) {
+	r := &s.report
+	roster := s.group.Holder.Roster()
+	if r.settled || version != r.version || !roster.Contains(lease.Member(id)) {
+		return
+	}
+	r.members[id] = true
+	if len(r.members) < roster.Majority() {
+		return
+	}
+	r.settled, r.since = true, t.Now()
+	telemetry.EventRosterSettled.Log(s.log, zap.Uint64("version", version), zap.Int("members", len(roster.Members)))
+	t.Send(service.Control, service.RosterReport{Group: s.key, Version: version, Since: r.since})
+}
+
+func (s *Service) configChanged(t *kernel.Turn, m service.ConfigChanged) {
+	s.config, s.configVersion = m.Config, m.Version
+	s.zoneRoster = votingZones(m.Config)
+	if s.zones != nil {
+		s.zones.SetRoster(s.zoneRoster)
+	}
+	for zone := range s.contacts {
+		if !s.zoneRoster.Contains(lease.Member(zone)) {
+			delete(s.contacts, zone)
+		}
+	}
+	for _, zone := range s.zoneRoster.Members {
+		if z := entity.Zone(zone); z != s.self.Zone && s.contacts[z] == nil {
+			s.contacts[z] = &contact{heardAt: t.Now()}
+		}
+	}
+	s.want(t)
+}
+
+// votingZones returns the zones that vote on authorities: all that the operators have not confirmed as lost. The version
+// stands for the set, so that other configuration changes do not interrupt authorities.
+func votingZones(c *operator.Config) lease.Roster {
+	var roster lease.Roster
+	for _, z := range c.Zones {
+		if z.State != operator.ZoneLost {
+			roster.Members = append(roster.Members, lease.Member(z.Name))
+		}
+	}
+	slices.Sort(roster.Members)
+	digest := xxhash.New()
+	for _, m := range roster.Members {
+		_, _ = digest.WriteString(string(m) + "\x00") // writes to a digest cannot fail
+	}
+	roster.Version = digest.Sum64() >> 40 // three bytes keep heartbeats and terms small
+	return roster
+}
+
+// want tells the group which names this instance may hold. Back ends in drain keep a primary until their partitions have
+// moved.
+func (s *Service) want(t *kernel.Turn) {
+	var wanted []lease.Name
+	if s.key.Group == claimingGroup && s.config != nil && !s.confirmedLost(s.self.Zone) {
+		wanted = append(wanted, lease.Name(service.DelegateLease(s.self.Zone)))
+		for shard := range s.settings.TokenShards {
+			wanted = append(wanted, lease.Name(service.TokenLease(shard)))
+		}
+		for _, svc := range s.config.Services {
+			for _, b := range svc.Backends {
+				if entity.Zone(b.Zone) == s.self.Zone {
+					wanted = append(wanted, lease.Name(service.BackendLease(entity.BackendID(b.Name))))
+				}
+			}
+		}
+	}
+	s.applyGroup(t, s.group.Want(t.Now(), wanted))
+	s.group.Voter.Forget(t.Now(), func(name lease.Name) bool { return slices.Contains(wanted, name) })
+}
+
+func (s *Service) confirmedLost(zone entity.Zone) bool {
+	return s.config != nil && !s.zoneRoster.Contains(lease.Member(zone))
+}
+
+// declaredLost reports whether the log or the operators say that the zone is lost.
+func (s *Service) declaredLost(zone entity.Zone) bool {
+	if s.confirmedLost(zone) {
+		return true
+	}
+	if s.view == nil {
+		return false
+	}
+	_, lost := s.view.LostZones[zone]
+	return lost
+}
--- /dev/null
+++ b/internal/service/lease/service.go
@@ -0,0 +1,205 @@
+// Package lease is the service that holds and votes on the majority leases of this instance: primaries of back ends, the
+// zone's delegate, token servers and, as the delegate, the zone's authority. The decisions are in internal/decide/lease;
+// this package exchanges heartbeats and publishes the result.
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/lease"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// ErrSettings means that the durations contradict each other.
+var ErrSettings = errors.New("lease settings contradict each other")
+
+// Settings holds the durations of leases. Heartbeat must be at most a third of the lease times, so that one lost heartbeat
+// loses no lease.
+type Settings struct {
+	// TTL is how long a lease is valid after its claims were sent. Default 400ms.
+	TTL time.Duration
+	// Heartbeat is the interval of heartbeats. Default 100ms.
+	Heartbeat time.Duration
+	// AuthorityTTL is TTL for the authority of a zone. Default 600ms.
+	AuthorityTTL time.Duration
+	// FreshFor is how long a view of the log counts as fresh after the read that proved it was sent. Default 300ms.
+	FreshFor time.Duration
+	// ZoneSilence is how long no instance of a zone was heard before the others claim its authority. Default 2s: a zone that
+	// loses its delegate is silent for less than 1 s.
+	ZoneSilence time.Duration
+	// TokenShards is the number of token servers of the zone. Default 4.
+	TokenShards uint32
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		TTL: 400 * time.Millisecond, Heartbeat: 100 * time.Millisecond, AuthorityTTL: 600 * time.Millisecond,
+		FreshFor: 300 * time.Millisecond, ZoneSilence: 2 * time.Second, TokenShards: 4,
+	}
+}
+
+// Service is the lease service. All fields but the snapshot belong to the control goroutine once the kernel runs.
+type Service struct {
+	self     service.Self
+	settings Settings
+	log      *zap.Logger
+	counters counters
+	kernel   *kernel.Kernel
+	sender   service.HeartbeatSender
+	snapshot kernel.Snapshot[service.LeaseView]
+
+	view          *ownership.View
+	config        *operator.Config
+	configVersion uint64
+	evidence      evidence
+	peers         map[entity.InstanceID]*peer
+
+	// group holds this instance's vote and claims in its lease group, key.
+	group  *lease.Participant
+	key    ownership.GroupKey
+	member bool
+	report rosterReport
+
+	// zones holds the zone's vote and claims. Invariant: it is nil unless this instance gained the delegate lease and has
+	// not seen it end.
+	zones      *lease.Participant
+	zoneRoster lease.Roster
+	contacts   map[entity.Zone]*contact
+
+	leaving  bool
+	stopping *stopping
+	changed  bool // a lease was gained or lost in this turn
+}
+
+type counters struct {
+	sent, answered, failed, skipped metrics.Counter
+	gained, lost                    metrics.Counter
+}
+
+// Messages of the service to itself.
+type (
+	heartbeatDue      struct{}
+	heartbeatAnswered struct {
+		call     call
+		response service.HeartbeatResponse
+		err      error
+	}
+)
+
+// New returns the service of an instance. Counters are registered below "lease.".
+func New(self service.Self, settings Settings, log *zap.Logger, registry metrics.Registry) *Service {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("lease."+name, registry) }
+	return &Service{
+		self: self, settings: settings, log: log, evidence: newEvidence(),
+		peers: map[entity.InstanceID]*peer{}, contacts: map[entity.Zone]*contact{},
+		counters: counters{
+			sent: counter("heartbeats.sent"), answered: counter("heartbeats.answered"),
+			failed: counter("heartbeats.failed"), skipped: counter("heartbeats.skipped"),
+			gained: counter("gained"), lost: counter("lost"),
+		},
+	}
+}
+
+// Name returns service.Lease.
+func (s *Service) Name() kernel.Name { return service.Lease }
+
+// Needs lists the sender of heartbeats.
+func (s *Service) Needs() []kernel.Name { return []kernel.Name{service.Peers} }
+
+// Provision looks up the sender. The waits of the vote begin here, before anything can be promised.
+func (s *Service) Provision(r *kernel.Resolver) error {
+	sender, err := kernel.Lookup[service.HeartbeatSender](r, service.Peers)
+	if err != nil {
+		return err
+	}
+	s.sender, s.kernel = sender, r.Kernel()
+	s.key = ownership.GroupKey{Zone: s.self.Zone}
+	s.group = s.newGroup(s.kernel.Now())
+	s.publish(s.kernel.Now())
+	return nil
+}
+
+// Validate checks the durations.
+func (s *Service) Validate() error {
+	c := s.settings
+	shortest := min(c.TTL, c.AuthorityTTL, c.FreshFor)
+	if c.Heartbeat <= 0 || shortest < 3*c.Heartbeat || c.ZoneSilence < c.AuthorityTTL {
+		return errors.Wrapf(ErrSettings, "%+v", c)
+	}
+	return nil
+}
+
+// Start sends the first heartbeat.
+func (s *Service) Start(ctx context.Context) error {
+	return s.kernel.Deliver(ctx, service.Lease, heartbeatDue{})
+}
+
+// Stop does nothing: leases that StopLeases has not released lapse.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Leases returns the published leases.
+func (s *Service) Leases() *service.LeaseView { return s.snapshot.Load() }
+
+// Handle processes one message on the control goroutine.
+func (s *Service) Handle(t *kernel.Turn, m kernel.Message) {
+	switch m := m.(type) {
+	case heartbeatDue:
+		s.heartbeat(t)
+		t.After(s.settings.Heartbeat, heartbeatDue{})
+	case heartbeatAnswered:
+		s.answered(t, m)
+	case service.HeartbeatReceived:
+		s.received(t, m)
+	case service.LogRead:
+		s.logRead(m)
+	case service.OwnershipChanged:
+		s.ownershipChanged(t, m.View)
+	case service.ConfigChanged:
+		s.configChanged(t, m)
+	case service.HandOverLeases:
+		s.applyGroup(t, s.group.HandOver(t.Now(), names(m.Names)))
+	case service.BeginLeaving:
+		s.leaving = true
+		s.group.Holder.Leave()
+	case service.StopLeases:
+		s.stop(t, m.Done)
+	}
+	s.publish(t.Now())
+	if s.changed {
+		s.changed = false
+		s.announce(t)
+	}
+}
+
+func (s *Service) newGroup(now time.Duration) *lease.Participant {
+	id := lease.Member(s.self.ID)
+	timing := lease.Timing{TTL: s.settings.TTL, Heartbeat: s.settings.Heartbeat}
+	return lease.NewParticipant(now, id, id, timing, lease.SafeVoter(s.settings.TTL))
+}
+
+func (s *Service) newZones(now time.Duration) *lease.Participant {
+	timing := lease.Timing{TTL: s.settings.AuthorityTTL, Heartbeat: s.settings.Heartbeat}
+	p := lease.NewParticipant(now, lease.Member(s.self.Zone), lease.Member(s.self.ID), timing,
+		lease.SafeVoter(s.settings.AuthorityTTL))
+	p.SetRoster(s.zoneRoster)
+	p.Holder.Own(lease.Name(service.AuthorityLease(s.self.Zone)))
+	return p
+}
+
+// logRead takes the control stream's reads as evidence of freshness. The configuration has its own freshness.
+func (s *Service) logRead(m service.LogRead) {
+	if m.Stream == platform.StreamControl {
+		s.evidence.read(m)
+	}
+}
--- /dev/null
+++ b/internal/service/lease/service_test.go
@@ -0,0 +1,213 @@
+package lease_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/peer/pb"
+	"github.com/pollenpier/pollenpier/internal/service"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// complete returns a condition: all back ends of a zone have a primary.
+func (c *cluster) complete(zone entity.Zone, backends int) func() bool {
+	return func() bool { return len(c.primaries(zone)) == backends }
+}
+
+// oneZone returns a settled zone of four instances and twelve back ends.
+func oneZone(t *testing.T) *cluster {
+	c := newCluster(t, []string{"a"}, 4, 12)
+	c.run(2*time.Second, nil)
+	require.Len(t, c.primaries(), 12)
+	return c
+}
+
+func (c *cluster) primaryOf(id entity.BackendID) *node { return c.primaries()[id] }
+
+// Guards against back ends that stay without primary after an instance was lost, with the platform up or down.
+func TestInstanceLost(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		c := oneZone(t)
+		c.platformDown = down
+		c.run(time.Second, nil)
+		for _, n := range c.nodes {
+			require.EqualValues(t, 1, n.reports.Load(), "reports of the roster's majority")
+			require.Positive(t, n.states.Load())
+		}
+		c.kill(c.primaryOf("stock-a-0"))
+		replaced := c.run(time.Second, c.complete("a", 12))
+		t.Logf("platform down %t: replaced in %v", down, replaced)
+		require.Len(t, c.primaries(), 12)
+	}
+}
+
+// Guards against a paused instance that goes on as primary when it returns.
+func TestInstancePausedAndReturned(t *testing.T) {
+	c := oneZone(t)
+	paused := c.primaryOf("stock-a-0")
+	had := len(c.acts(paused))
+	c.pause(paused)
+	c.run(time.Second, nil)
+	require.Empty(t, c.acts(paused), "its leases lapsed while it was paused")
+	require.Len(t, c.primaries(), 12)
+	c.resume(paused)
+	c.run(2*time.Second, nil)
+	require.Empty(t, c.acts(paused), "the others keep their leases")
+	require.Len(t, c.primaries(), 12)
+
+	for _, n := range c.nodes {
+		c.send(n, service.HandOverLeases{Names: heldNames(n)})
+	}
+	c.settle()
+	c.run(time.Second, c.complete("a", 12))
+	require.Len(t, c.acts(paused), had, "rebalanced on request")
+}
+
+func heldNames(n *node) []service.LeaseName {
+	var names []service.LeaseName
+	for name := range n.svc.Leases().Held {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Guards against a zone that serves on when others may already have taken over its keys, and against one that stops early.
+func TestZoneCutFromEverything(t *testing.T) {
+	c := newCluster(t, []string{"a", "b", "c"}, 3, 2)
+	c.run(4*time.Second, nil)
+	require.Len(t, c.primaries(), 6)
+	require.NotNil(t, c.holder(service.AuthorityLease("a")))
+
+	c.cut["a"] = true
+	cutAt := c.clock.Now()
+	c.run(cutoffHold, nil)
+	require.Len(t, c.primaries("a"), 2, "serves for the cut-off hold")
+	seized := c.holder(service.AuthorityLease("a"))
+	require.NotNil(t, seized, "the other zones refuse the authority")
+	require.NotEqual(t, entity.Zone("a"), seized.self.Zone)
+	authorityEnd := c.nodes[0].svc.Leases().AuthorityUntil
+	require.GreaterOrEqual(t, seized.svc.Leases().Held[service.AuthorityLease("a")].Since, authorityEnd)
+	c.run(time.Second, nil)
+	require.Empty(t, c.primaries("a"), "stopped after %v", c.clock.Now()-cutAt)
+	require.Len(t, c.primaries(), 4, "the other zones go on")
+
+	c.platformDown = true
+	c.cut["a"] = false
+	back := c.run(5*time.Second, c.complete("a", 2))
+	t.Logf("serves again %v after the cut ended, without the platform", back)
+	require.Len(t, c.primaries(), 6)
+}
+
+// Guards against connected zones that stop because the platform is down, also when they lose their delegates.
+func TestPlatformDownWithConnectedZones(t *testing.T) {
+	c := newCluster(t, []string{"a", "b", "c"}, 4, 2)
+	c.run(4*time.Second, nil)
+	c.platformDown = true
+	interrupted := false
+	c.run(3*cutoffHold, func() bool {
+		interrupted = interrupted || len(c.primaries()) != 6
+		return interrupted
+	})
+	require.False(t, interrupted)
+
+	c.kill(c.holder(service.DelegateLease("a")))
+	replaced := c.run(time.Second, func() bool { return c.holder(service.DelegateLease("a")) != nil })
+	t.Logf("delegate replaced in %v", replaced)
+	require.Less(t, replaced, time.Second)
+	c.run(2*cutoffHold, nil)
+	require.Len(t, c.primaries(), 6)
+	require.NotNil(t, c.holder(service.AuthorityLease("a")))
+}
+
+// Guards against a declared loss that does not end a zone's authority, and a return that does not give it back.
+func TestZoneDeclaredLostGetsNoAuthority(t *testing.T) {
+	c := newCluster(t, []string{"a", "b", "c"}, 1, 1)
+	c.run(4*time.Second, nil)
+	require.Equal(t, entity.Zone("a"), c.holder(service.AuthorityLease("a")).self.Zone)
+	for _, n := range c.nodes[1:] {
+		lost := *c.view
+		lost.LostZones = map[entity.Zone]entity.Offset{"a": 101}
+		c.send(n, service.OwnershipChanged{View: &lost})
+	}
+	c.run(3*time.Second, nil)
+	require.NotEqual(t, entity.Zone("a"), c.holder(service.AuthorityLease("a")).self.Zone)
+	for _, n := range c.nodes {
+		c.send(n, service.OwnershipChanged{View: c.view})
+	}
+	c.run(5*time.Second, nil)
+	require.Equal(t, entity.Zone("a"), c.holder(service.AuthorityLease("a")).self.Zone)
+}
+
+// Guards against a planned stop that leaves its back ends to lapse.
+func TestPlannedStopHandsOver(t *testing.T) {
+	c := oneZone(t)
+	leaving := c.primaryOf("stock-a-0")
+	c.send(leaving, service.BeginLeaving{})
+	c.run(500*time.Millisecond, nil)
+	require.NotEmpty(t, c.acts(leaving), "it serves until dispatch has drained")
+	done := make(chan struct{})
+	c.send(leaving, service.StopLeases{Done: done})
+	<-done
+	require.Empty(t, c.acts(leaving))
+	handedOver := c.run(time.Second, c.complete("a", 12))
+	t.Logf("handed over in %v", handedOver)
+	require.LessOrEqual(t, handedOver, 200*time.Millisecond)
+	require.Empty(t, c.acts(leaving))
+}
+
+// Guards against a single instance or zone that waits for a majority that does not exist.
+func TestSingleInstanceIsItsOwnMajority(t *testing.T) {
+	c := newCluster(t, []string{"a"}, 1, 3)
+	c.run(2*time.Second, nil)
+	c.platformDown = true
+	c.run(2*cutoffHold, nil)
+	require.Len(t, c.primaries(), 3)
+}
+
+// Guards against heartbeats that grow with what other instances hold.
+func TestHeartbeatTraffic(t *testing.T) {
+	c := oneZone(t)
+	var bytes, calls atomic.Int64
+	c.onCall = func(req service.HeartbeatRequest, r service.HeartbeatResponse) {
+		bytes.Add(int64(proto.Size(encodeRequest(req)) + proto.Size(encodeResponse(r))))
+		calls.Add(1)
+	}
+	c.run(10*time.Second, nil)
+	perInstance := float64(bytes.Load()) / 10 / 4
+	t.Logf("%.0f bytes/s and %.0f heartbeats/s sent by each of 4 instances (requests and answers), 12 back ends",
+		perInstance, float64(calls.Load())/10/4)
+	require.Less(t, perInstance, 8192.0)
+}
+
+func encodeRequest(r service.HeartbeatRequest) proto.Message {
+	m := &pb.HeartbeatRequest{
+		Instance: string(r.Instance), Zone: string(r.Zone), Address: r.Address, Group: r.Group, RosterVersion: r.RosterVersion,
+		ControlOffset: uint64(r.ControlOffset), ConfigVersion: r.ConfigVersion, FreshnessAgeUs: r.FreshnessAge.Microseconds(),
+		AuthorityAgeUs: r.AuthorityAge.Microseconds(), Leaving: r.Leaving,
+	}
+	for _, c := range r.Claims {
+		m.Claims = append(m.Claims, &pb.Claim{Name: string(c.Name), Term: uint64(c.Term), Release: c.Release})
+	}
+	return m
+}
+
+func encodeResponse(r service.HeartbeatResponse) proto.Message {
+	m := &pb.HeartbeatResponse{
+		Instance: string(r.Instance), Voter: r.Voter, RosterVersion: r.RosterVersion, ControlOffset: uint64(r.ControlOffset),
+		ConfigVersion: r.ConfigVersion, FreshnessAgeUs: r.FreshnessAge.Microseconds(),
+		AuthorityAgeUs: r.AuthorityAge.Microseconds(), Delegate: string(r.Delegate), Leaving: r.Leaving,
+	}
+	for _, x := range r.Results {
+		m.Results = append(m.Results, &pb.ClaimResult{
+			Name: string(x.Name), Granted: x.Granted, Holder: string(x.Holder), Term: uint64(x.Term),
+		})
+	}
+	return m
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
@@ -121,8 +122,11 @@
 
 // HeldLease is a lease that this instance holds.
 type HeldLease struct {
-	Term  entity.Term
-	Until time.Duration // on the kernel's clock
+	Term entity.Term
+	// Since is when this holding began and Until when it ends, on the kernel's clock. No other instance has held the lease
+	// in between.
+	Since time.Duration
+	Until time.Duration
 }
 
 // BackendLease is the name of the lease that makes an instance the primary of a back end.
@@ -134,6 +138,11 @@
 // AuthorityLease is the name of the lease that a zone holds over itself, with the other zones' delegates as voters.
 func AuthorityLease(z entity.Zone) LeaseName { return LeaseName("authority/" + z) }
 
+// TokenLease is the name of the lease that makes an instance the token server of a customer shard in its zone.
+func TokenLease(shard uint32) LeaseName {
+	return LeaseName("tokens/" + strconv.FormatUint(uint64(shard), 10))
+}
+
 // LeaseSource gives traffic goroutines the current leases.
 type LeaseSource interface {
 	Leases() *LeaseView
