Carry heartbeats, records and state between instances

The peer server hands each decoded call to the service it is for, by name, and waits for the reply of the control goroutine in the call's own goroutine.

--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -28,6 +28,16 @@
 	return f(ctx, req)
 }
 
+// handler dispatches forwarded requests; other calls are not part of these tests.
+type handler struct {
+	peer.Handler
+	service.Dispatcher
+}
+
+func (h handler) Dispatch(ctx context.Context, req *service.Request) service.Response {
+	return h.Dispatcher.Dispatch(ctx, req)
+}
+
 // start serves dispatch on loopback and returns a client and the address.
 func start(t *testing.T, dispatch dispatchFunc) (*peer.Client, string) {
 	t.Helper()
@@ -36,7 +46,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	server := peer.NewServer(dispatch, clock)
+	server := peer.NewServer(handler{Dispatcher: dispatch}, clock)
 	go func() { done <- server.Serve(ctx, listener, func(error) {}) }()
 	client := peer.NewClient(clock)
 	t.Cleanup(func() {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,19 +11,30 @@
 
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/peer/pb"
+	"github.com/pollenpier/pollenpier/internal/platform"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
 
+// Handler answers decoded calls.
+type Handler interface {
+	service.Dispatcher
+	Heartbeat(ctx context.Context, req service.HeartbeatRequest) (service.HeartbeatResponse, error)
+	// State returns the replayed state of a stream of the log.
+	State(ctx context.Context, stream platform.Stream) (service.StateAnswer, error)
+	// Records returns records of a stream that are kept in memory.
+	Records(ctx context.Context, stream platform.Stream, from entity.Offset, limit int) (service.RecordsAnswer, error)
+}
+
 // Server answers the calls of other instances.
 type Server struct {
-	dispatcher service.Dispatcher
-	clock      Clock
+	handler Handler
+	clock   Clock
 	pb.DRPCPeerUnimplementedServer
 }
 
-// NewServer returns a server that dispatches forwarded requests.
-func NewServer(dispatcher service.Dispatcher, clock Clock) *Server {
-	return &Server{dispatcher: dispatcher, clock: clock}
+// NewServer returns a server that passes decoded calls to the handler.
+func NewServer(handler Handler, clock Clock) *Server {
+	return &Server{handler: handler, clock: clock}
 }
 
 // Serve answers calls on the listener until ctx ends.
@@ -52,7 +63,7 @@
 	ctx := withTraceparent(stream.Context(), head.GetTraceparent())
 	ctx, cancel := context.WithTimeout(ctx, remainingUntil(req.Deadline, now))
 	defer cancel()
-	resp := s.dispatcher.Dispatch(ctx, req)
+	resp := s.handler.Dispatch(ctx, req)
 	if resp.Outcome.Kind != entity.OutcomeAnswered {
 		return stream.Send(toRefusal(req.ID, resp))
 	}
--- /dev/null
+++ b/internal/service/peers/peers.go
@@ -0,0 +1,40 @@
+// Package peers sends calls to other instances.
+package peers
+
+import (
+	"context"
+
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/peer"
+	"github.com/pollenpier/pollenpier/internal/service"
+)
+
+// Peers is the service named peers. Its calls may come from any goroutine.
+type Peers struct{ *peer.Client }
+
+// What other services look up under the name peers.
+var (
+	_ service.Forwarder         = (*Peers)(nil)
+	_ service.HeartbeatSender   = (*Peers)(nil)
+	_ service.StateSource       = (*Peers)(nil)
+	_ service.ConfigStateSource = (*Peers)(nil)
+	_ service.RecordSource      = (*Peers)(nil)
+)
+
+// New returns the service.
+func New(clock kernel.Clock) *Peers { return &Peers{Client: peer.NewClient(clock)} }
+
+// Name implements kernel.Service.
+func (p *Peers) Name() kernel.Name { return service.Peers }
+
+// Needs implements kernel.Service.
+func (p *Peers) Needs() []kernel.Name { return nil }
+
+// Provision implements kernel.Service.
+func (p *Peers) Provision(*kernel.Resolver) error { return nil }
+
+// Start implements kernel.Service.
+func (p *Peers) Start(context.Context) error { return nil }
+
+// Stop closes the idle connections.
+func (p *Peers) Stop(context.Context) error { return p.Close() }
--- /dev/null
+++ b/internal/service/peerserver/peerserver.go
@@ -0,0 +1,163 @@
+// Package peerserver answers the calls of other instances: it hands each to the service that it is for.
+package peerserver
+
+import (
+	"context"
+	"net"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/peer"
+	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// Settings of the peer server.
+type Settings struct {
+	// Listen is the address of the peer listener, host:port.
+	Listen string
+}
+
+// ErrUnknownStream means that a peer asked for a stream that does not exist.
+var ErrUnknownStream = errors.New("unknown stream")
+
+// PeerServer is the service named peerserver.
+type PeerServer struct {
+	settings Settings
+	log      *zap.Logger
+	clock    kernel.Clock
+
+	kernel   *kernel.Kernel
+	dispatch service.Dispatcher
+
+	socket net.Listener
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns the service. The socket, if given, is an open listener that is used in place of the settings' address, for a
+// process that has to know its own address before it starts.
+func New(settings Settings, socket net.Listener, log *zap.Logger, clock kernel.Clock) *PeerServer {
+	return &PeerServer{settings: settings, socket: socket, log: log, clock: clock, done: make(chan struct{})}
+}
+
+// Name implements kernel.Service.
+func (s *PeerServer) Name() kernel.Name { return service.PeerServer }
+
+// Needs implements kernel.Service.
+func (s *PeerServer) Needs() []kernel.Name {
+	return []kernel.Name{service.Dispatch, service.Lease, service.Control, service.Config}
+}
+
+// Provision implements kernel.Service.
+func (s *PeerServer) Provision(r *kernel.Resolver) error {
+	s.kernel = r.Kernel()
+	var err error
+	s.dispatch, err = kernel.Lookup[service.Dispatcher](r, service.Dispatch)
+	return err
+}
+
+// Start opens the listener.
+func (s *PeerServer) Start(ctx context.Context) error {
+	if s.socket == nil {
+		var config net.ListenConfig
+		socket, err := config.Listen(ctx, "tcp", s.settings.Listen)
+		if err != nil {
+			return errors.Wrap(err, "listen for peers")
+		}
+		s.socket = socket
+	}
+	serving, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	telemetry.EventPeerListening.Log(s.log, zap.Stringer("address", s.socket.Addr()))
+	server := peer.NewServer(s, s.clock)
+	go func() {
+		defer close(s.done)
+		if err := server.Serve(serving, s.socket, s.callFailed); err != nil {
+			telemetry.EventPeerFailed.Log(s.log, zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// Stop closes the listener and waits for the calls to end.
+func (s *PeerServer) Stop(ctx context.Context) error {
+	s.cancel()
+	select {
+	case <-s.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *PeerServer) callFailed(err error) {
+	telemetry.EventPeerCallError.Log(s.log, zap.Error(err))
+}
+
+// Dispatch implements peer.Handler.
+func (s *PeerServer) Dispatch(ctx context.Context, req *service.Request) service.Response {
+	return s.dispatch.Dispatch(ctx, req)
+}
+
+// Heartbeat implements peer.Handler.
+func (s *PeerServer) Heartbeat(ctx context.Context, req service.HeartbeatRequest) (service.HeartbeatResponse, error) {
+	return ask(ctx, s.kernel, service.Lease, func(reply chan<- service.HeartbeatResponse) kernel.Message {
+		return service.HeartbeatReceived{Request: req, Reply: reply}
+	})
+}
+
+// State implements peer.Handler.
+func (s *PeerServer) State(ctx context.Context, stream platform.Stream) (service.StateAnswer, error) {
+	owner, err := streamOwner(stream)
+	if err != nil {
+		return service.StateAnswer{}, err
+	}
+	return ask(ctx, s.kernel, owner, func(reply chan<- service.StateAnswer) kernel.Message {
+		return service.StateQuery{Reply: reply}
+	})
+}
+
+// Records implements peer.Handler.
+func (s *PeerServer) Records(
+	ctx context.Context, stream platform.Stream, from entity.Offset, limit int,
+) (service.RecordsAnswer, error) {
+	owner, err := streamOwner(stream)
+	if err != nil {
+		return service.RecordsAnswer{}, err
+	}
+	return ask(ctx, s.kernel, owner, func(reply chan<- service.RecordsAnswer) kernel.Message {
+		return service.RecordsQuery{From: from, Limit: limit, Reply: reply}
+	})
+}
+
+// streamOwner returns the service that replays a stream.
+func streamOwner(stream platform.Stream) (kernel.Name, error) {
+	switch stream {
+	case platform.StreamControl:
+		return service.Control, nil
+	case platform.StreamConfig:
+		return service.Config, nil
+	default:
+		return "", errors.Wrapf(ErrUnknownStream, "%q", stream)
+	}
+}
+
+// ask delivers a message to a service on the control goroutine and waits for its reply.
+func ask[T any](ctx context.Context, k *kernel.Kernel, to kernel.Name, message func(chan<- T) kernel.Message) (T, error) {
+	reply := make(chan T, 1)
+	var none T
+	if err := k.Deliver(ctx, to, message(reply)); err != nil {
+		return none, err
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
 )
@@ -164,8 +163,3 @@
 	}
 	return 0, false
 }
-
-// OwnershipSource gives traffic goroutines the replayed ownership state. Nil before the first records were applied.
-type OwnershipSource interface {
-	Ownership() *ownership.View
-}
