Add the control service

Cause: every instance must replay the control stream, publish who owns what, and append the records by which the roster, owners, zones and shares change.

Change: the service reads by long poll, relays records from peers while reads fail, restores from a checkpoint after a gap and from a peer's state if the platform is down at start. Each kind of decision is a decider that names the next record from the replayed state; one append is under way at a time and is repeated with the same sequence until its replay. A zone is declared lost by the votes of the delegates of most zones; lease is told of a vote before it is appended. Back ends reported lost are recorded in the Move, so that no other coordinator gives partitions back to them. A JoinRequest record lets members, who know when their group has settled, append the Join.

Conclusion: joins, first assignment, loss, drain, removal, zone loss, start from checkpoint and from a peer pass in tests over the fake platform.

--- a/internal/decide/ownership/record.go
+++ b/internal/decide/ownership/record.go
@@ -35,6 +35,10 @@
 	Member  Member
 }
 
+// JoinRequest asks the members of the zone to let an instance join once the group's last change is known to its majority.
+// It changes nothing in replay.
+type JoinRequest struct{ Member Member }
+
 // Leave removes one member from its lease group.
 type Leave struct {
 	Group    GroupKey
@@ -138,6 +142,7 @@
 type Checkpoint struct{ Chunk Chunk }
 
 func (Join) isRecord()          {}
+func (JoinRequest) isRecord()   {}
 func (Leave) isRecord()         {}
 func (ForcedLeave) isRecord()   {}
 func (Move) isRecord()          {}
--- a/internal/decide/ownership/shares.go
+++ b/internal/decide/ownership/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
 )
@@ -94,3 +95,17 @@
 		}
 	}
 }
+
+// EvenShares divides the whole evenly. The first zones in order of their names get the rest.
+func EvenShares(zones []entity.Zone) []ZoneShare {
+	sorted := slices.Sorted(slices.Values(zones))
+	list := make([]ZoneShare, 0, len(sorted))
+	for i, zone := range sorted {
+		share := uint32(ShareTotal / len(sorted))
+		if i < ShareTotal%len(sorted) {
+			share++
+		}
+		list = append(list, ZoneShare{Zone: zone, Share: share})
+	}
+	return list
+}
--- a/internal/decide/ownership/state.go
+++ b/internal/decide/ownership/state.go
@@ -80,6 +80,9 @@
 // Next returns the offset of the next record to apply.
 func (s *State) Next() entity.Offset { return s.next }
 
+// LastSequence returns the last sequence seen of a writer, zero if none is remembered.
+func (s *State) LastSequence(writer entity.InstanceID) uint64 { return s.writers[writer].sequence }
+
 // Apply replays the record at an offset.
 func (s *State) Apply(offset entity.Offset, stamp Stamp, record Record) Verdict {
 	if verdict, ok := s.advance(offset); !ok {
@@ -138,7 +141,7 @@
 		return s.applyShares(offset, r)
 	case SharesSettled:
 		return s.applySharesSettled(offset, r)
-	case Checkpoint:
+	case Checkpoint, JoinRequest:
 		return applied()
 	default:
 		return dropped(DropInvalid)
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -55,7 +55,8 @@
 		total += p.weights[i]
 		p.count(entity.Partition(i), owner)
 	}
-	for _, n := range p.nodes {
+	// The order of a sum decides its last bits, so the map's order must not.
+	for _, n := range p.ordered() {
 		if n.State == Active {
 			capacity += n.capacity
 		}
--- a/internal/records/decode.go
+++ b/internal/records/decode.go
@@ -103,6 +103,8 @@
 	switch body := m.GetBody().(type) {
 	case *pb.Record_Join:
 		return ownership.Join{Version: body.Join.GetVersion(), Member: d.member(body.Join.GetMember())}
+	case *pb.Record_JoinRequest:
+		return ownership.JoinRequest{Member: d.member(body.JoinRequest.GetMember())}
 	case *pb.Record_Leave:
 		return d.leave(body.Leave)
 	case *pb.Record_ForcedLeave:
--- a/internal/records/encode.go
+++ b/internal/records/encode.go
@@ -43,6 +43,8 @@
 	switch r := record.(type) {
 	case ownership.Join:
 		m.Body = &pb.Record_Join{Join: &pb.Join{Version: r.Version, Member: memberToPB(r.Member)}}
+	case ownership.JoinRequest:
+		m.Body = &pb.Record_JoinRequest{JoinRequest: &pb.JoinRequest{Member: memberToPB(r.Member)}}
 	case ownership.Leave:
 		m.Body = &pb.Record_Leave{Leave: &pb.Leave{
 			Group: groupToPB(r.Group), Version: r.Version, Instance: string(r.Instance),
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -16,6 +16,7 @@
 	group := ownership.GroupKey{Zone: "a", Group: 2}
 	return []ownership.Record{
 		ownership.Join{Version: 3, Member: ownership.Member{ID: "i1", Zone: "a", Address: "127.0.0.1:1", Group: 2}},
+		ownership.JoinRequest{Member: ownership.Member{ID: "i2", Zone: "b", Address: "127.0.0.1:2", Group: 1}},
 		ownership.Leave{Group: group, Version: 4, Instance: "i1"},
 		ownership.ForcedLeave{Group: group, Version: 5, Instances: []entity.InstanceID{"i1", "i2"}},
 		ownership.Move{Service: "s", Version: 6, Count: 4, Steps: []ownership.MoveStep{{Partition: 3, To: "b1"}},
--- /dev/null
+++ b/internal/service/control/assign.go
@@ -0,0 +1,221 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/decide/placement"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// initialWait is how long the first assignment of a service waits for members in all zones with its back ends. Otherwise
+// the first zone would get everything and most of it would move again.
+const initialWait = 3 * time.Second
+
+// assigner keeps the partitions of each service assigned as the configuration and the placement want it.
+type assigner struct {
+	logger *zap.Logger
+	// generation grows with each change outside the service's own assignment.
+	generation uint64
+	services   map[entity.ServiceName]*assignState
+	zones      entity.Offset
+	members    int
+	loads      loads
+}
+
+type assignState struct {
+	view       *ownership.ServiceView
+	generation uint64
+	checkedAt  time.Duration
+	// wantedSince is since when a record has been wanted without a change of the assignment; negative if none is.
+	wantedSince time.Duration
+	seenAt      time.Duration
+	refused     bool // a wrong number of partitions was logged
+}
+
+func newAssigner(logger *zap.Logger) *assigner {
+	return &assigner{logger: logger, services: map[entity.ServiceName]*assignState{}, loads: newLoads()}
+}
+
+func (a *assigner) changed() { a.generation++ }
+
+func (a *assigner) measured(now time.Duration, m service.BackendLatency) { a.loads.add(now, m) }
+
+func (a *assigner) next(s *situation) ownership.Record {
+	if !s.config.known {
+		return nil
+	}
+	if a.zones != s.view.ZonesVersion || a.members != len(s.view.Members) {
+		a.zones, a.members = s.view.ZonesVersion, len(s.view.Members)
+		a.changed()
+	}
+	for _, name := range a.names(s) {
+		if record := a.look(s, name); record != nil {
+			return record
+		}
+	}
+	return nil
+}
+
+// names returns the services of the configuration and of the state.
+func (a *assigner) names(s *situation) []entity.ServiceName {
+	all := make(map[entity.ServiceName]bool, len(s.config.services))
+	for name := range s.config.services {
+		all[name] = true
+	}
+	for name := range s.view.Services {
+		all[name] = true
+	}
+	maps.DeleteFunc(a.services, func(name entity.ServiceName, _ *assignState) bool { return !all[name] })
+	return slices.Sorted(maps.Keys(all))
+}
+
+// look returns the record that a service needs, if this instance is to write it now.
+func (a *assigner) look(s *situation, name entity.ServiceName) ownership.Record {
+	delay, ok := s.ranks.delay(string(name))
+	if !ok {
+		return nil
+	}
+	view := s.view.Services[name]
+	state, known := a.services[name]
+	if !known {
+		state = &assignState{wantedSince: -1, seenAt: s.now, checkedAt: s.now - balanceInterval}
+		a.services[name] = state
+	}
+	changed := state.view != view || state.generation != a.generation
+	due := s.now-state.checkedAt >= balanceInterval || (changed && delay == 0)
+	if !due {
+		return nil
+	}
+	if state.view != view {
+		state.wantedSince = -1 // another coordinator makes progress
+	}
+	state.view, state.generation, state.checkedAt = view, a.generation, s.now
+	record := a.wanted(s, name, view, state)
+	state.wantedSince = since(state.wantedSince, record != nil, s.now)
+	if record == nil || s.now-state.wantedSince < delay {
+		return nil
+	}
+	return record
+}
+
+func (a *assigner) wanted(
+	s *situation, name entity.ServiceName, view *ownership.ServiceView, state *assignState,
+) ownership.Record {
+	svc, configured := s.config.services[name]
+	switch {
+	case !configured:
+		return vacate(name, view)
+	case view == nil && s.now-state.seenAt < initialWait && !allZonesHaveMembers(s, svc):
+		return nil
+	case view == nil:
+		view = emptyView(svc.Partitions)
+	case view.Count != svc.Partitions:
+		if !state.refused {
+			telemetry.EventControlPartitionCount.Log(a.logger, zap.String("service", string(name)),
+				zap.Uint32("configured", svc.Partitions), zap.Uint32("recorded", view.Count))
+		}
+		state.refused = true
+	}
+	return a.move(s, name, view)
+}
+
+func (a *assigner) move(s *situation, name entity.ServiceName, view *ownership.ServiceView) ownership.Record {
+	move := ownership.Move{Service: name, Version: view.Version, Count: view.Count}
+	for _, m := range placement.Propose(placementInput(s, name, view, &a.loads), placement.DefaultSettings()) {
+		move.Steps = append(move.Steps, ownership.MoveStep{Partition: m.Partition, To: m.To})
+	}
+	move.Steps = fitting(move.Steps)
+	for id := range view.Down {
+		if b, ok := s.config.backends[id]; !ok || b.service != name {
+			move.Up = append(move.Up, id) // removed from the configuration: forget it
+		}
+	}
+	slices.Sort(move.Up)
+	if len(move.Steps)+len(move.Up) == 0 {
+		return nil
+	}
+	return move
+}
+
+func emptyView(count uint32) *ownership.ServiceView {
+	return &ownership.ServiceView{Count: count, Owners: make([]ownership.Owner, count)}
+}
+
+// vacate takes the partitions of a removed service from their owners, and forgets the service when nobody owns any.
+func vacate(name entity.ServiceName, view *ownership.ServiceView) ownership.Record {
+	if view.Unowned() {
+		return ownership.RemoveService{Service: name, Version: view.Version}
+	}
+	move := ownership.Move{Service: name, Version: view.Version, Count: view.Count}
+	for p, owner := range view.Owners {
+		if owner.Backend != "" && owner.To != ownership.Nobody {
+			move.Steps = append(move.Steps, ownership.MoveStep{Partition: entity.Partition(p), To: ownership.Nobody})
+		}
+	}
+	move.Steps = fitting(move.Steps)
+	if len(move.Steps) == 0 {
+		return nil // waits for the releases
+	}
+	return move
+}
+
+// allZonesHaveMembers reports whether each active zone with back ends of the service has a member that can attend to them.
+func allZonesHaveMembers(s *situation, svc *operator.Service) bool {
+	members := memberZones(s.view)
+	for _, b := range svc.Backends {
+		if s.config.zones[entity.Zone(b.Zone)] == operator.ZoneActive && !members[entity.Zone(b.Zone)] {
+			return false
+		}
+	}
+	return true
+}
+
+// placementInput describes a service to the placement. Loads may be nil.
+func placementInput(
+	s *situation, name entity.ServiceName, view *ownership.ServiceView, measured *loads,
+) placement.Input {
+	input := placement.Input{Owners: view.Owners, Count: view.Count}
+	svc, ok := s.config.services[name]
+	if !ok {
+		return input
+	}
+	members := memberZones(s.view)
+	for _, b := range svc.Backends {
+		backend := placement.Backend{
+			ID: entity.BackendID(b.Name), Zone: entity.Zone(b.Zone), Slots: b.Slots, Rate: -1,
+			State: backendState(s, view, b, members),
+		}
+		if measured != nil {
+			measured.apply(s.now, &backend)
+		}
+		input.Backends = append(input.Backends, backend)
+	}
+	if measured != nil {
+		input.VirtualRate = measured.virtual(s.now, name, view)
+	}
+	return input
+}
+
+func backendState(
+	s *situation, view *ownership.ServiceView, b operator.Backend, members map[entity.Zone]bool,
+) placement.BackendState {
+	zone := entity.Zone(b.Zone)
+	_, zoneLost := s.view.LostZones[zone]
+	_, down := view.Down[entity.BackendID(b.Name)]
+	switch {
+	case zoneLost, down, !members[zone], s.config.zones[zone] == operator.ZoneLost:
+		return placement.Lost
+	case b.State == operator.BackendDrain, s.config.zones[zone] == operator.ZoneOut:
+		return placement.Leaving
+	default:
+		return placement.Active
+	}
+}
--- /dev/null
+++ b/internal/service/control/control_test.go
@@ -0,0 +1,193 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/service/control"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// Guards against instances that do not join, a service without owners, and a repeat after a lost answer that counts twice.
+func TestInstancesJoinAndAssignDespiteLostAnswers(t *testing.T) {
+	c := newCluster(t)
+	c.log.SetFaults(platform.Faults{LoseAnswers: true})
+	a, b := c.start("a", control.Settings{}), c.start("a", control.Settings{})
+	c.eventually("both join", func() bool { return len(a.view().Members) == 2 && len(b.view().Members) == 2 })
+	for _, n := range []*node{a, b} {
+		n.tell(t, service.ConfigChanged{Config: testConfig(operator.Zone{Name: "a"}), Version: 1})
+	}
+	want := map[entity.BackendID]int{"a1": 8, "a2": 8}
+	c.eventually("all assigned", func() bool {
+		return len(owners(a.view())) == 2 && len(owners(b.view())) == 2
+	})
+	require.Equal(t, want, owners(a.view()))
+	b.stop()
+	c.eventually("the stopped one left", func() bool { return len(a.view().Members) == 1 })
+}
+
+// Guards against keys that stay with a lost back end, and against a new owner before the proof that the old one stopped.
+func TestLostBackendIsReplacedAfterProof(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", control.Settings{})
+	a.tell(t, service.ConfigChanged{Config: testConfig(operator.Zone{Name: "a"}), Version: 1})
+	c.eventually("assigned", func() bool { return owners(a.view())["a1"] == 8 })
+	a.tell(t, service.BackendLost{Backend: "a1"})
+	c.eventually("moving", func() bool { return owners(a.view())["moving"] == 8 })
+	ready := service.ReleaseReady{Backend: "a1", Lapsed: true}
+	for p, o := range a.view().Services["stock"].Owners {
+		if o.Moving() {
+			ready.Partitions = append(ready.Partitions,
+				service.PartitionEpoch{Service: "stock", Partition: entity.Partition(p), Epoch: o.Epoch})
+		}
+	}
+	require.Equal(t, 8, owners(a.view())["moving"], "nothing is granted before the proof")
+	a.tell(t, ready)
+	c.eventually("granted", func() bool { return owners(a.view())["a2"] == 16 })
+	a.tell(t, service.BackendBack{Backend: "a1"})
+	c.eventually("load returns", func() bool { return owners(a.view())["moving"] > 0 })
+}
+
+// Guards against a start that fails once the log has dropped its first records.
+func TestNewInstanceRestoresFromACheckpoint(t *testing.T) {
+	c := newCluster(t)
+	settings := control.Settings{CheckpointEvery: 20}
+	c.log.SetRetention(100)
+	a := c.start("a", settings)
+	a.tell(t, service.ConfigChanged{Config: testConfig(operator.Zone{Name: "a"}), Version: 1})
+	for i := range 150 {
+		// Changes that go on: one back end is lost and comes back.
+		if i%2 == 0 {
+			a.tell(t, service.BackendLost{Backend: "a1"})
+		} else {
+			a.tell(t, service.BackendBack{Backend: "a1"})
+		}
+		down := i%2 == 0
+		c.eventually("recorded", func() bool {
+			s := a.view().Services["stock"]
+			return s != nil && (len(s.Down) == 1) == down
+		})
+	}
+	require.Positive(t, c.log.Records(platform.StreamControl)[0].Offset, "the log still has its first record")
+	b := c.start("a", settings)
+	c.eventually("restored", func() bool { return len(b.view().Members) == 2 })
+	c.eventually("equal", func() bool {
+		x, y := a.view(), b.view()
+		return x.Offset == y.Offset && assertEqual(x, y)
+	})
+}
+
+func assertEqual(x, y *ownership.View) bool {
+	return x.Services["stock"].Version == y.Services["stock"].Version && len(x.Members) == len(y.Members)
+}
+
+// Guards against an instance that cannot start or goes blind while the platform is out of its reach.
+func TestPeersServeStateAndRecords(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", control.Settings{})
+	a.tell(t, service.ConfigChanged{Config: testConfig(operator.Zone{Name: "a"}), Version: 1})
+	c.eventually("assigned", func() bool { return owners(a.view())["a1"] == 8 })
+	a.down.Store(true)
+	settings := control.Settings{Peers: []string{a.self.Address}}
+	c.log.SetFaults(platform.Faults{Unavailable: true})
+	b := c.start("a", settings)
+	c.eventually("state fetched", func() bool { return owners(b.view())["a1"] == 8 })
+	b.down.Store(true)
+	a.down.Store(false)
+	c.log.SetFaults(platform.Faults{})
+	a.tell(t, service.BackendLost{Backend: "a2"})
+	c.eventually("record relayed", func() bool { return owners(b.view())["moving"] == 8 })
+	require.Len(t, b.view().Members, 1, "an instance without the log cannot join")
+}
+
+// Guards against dead members that stay in the roster, and against the removal of one that is only silent.
+func TestDeadMembersAreRemoved(t *testing.T) {
+	c := newCluster(t)
+	a, b, d := c.start("a", control.Settings{}), c.start("a", control.Settings{}), c.start("a", control.Settings{})
+	silence := c.heartbeats(a, b, d)
+	c.list(a, b, d)
+	for _, n := range []*node{a, b, d} {
+		n.tell(t, service.ConfigChanged{Config: testConfig(operator.Zone{Name: "a"}), Version: 1})
+	}
+	c.eventually("all join", func() bool { return len(a.view().Members) == 3 })
+	silence(d)
+	d.down.Store(true)
+	start := c.clock.Now()
+	c.eventually("time passes", func() bool { return c.clock.Now()-start > 6*time.Second })
+	require.Len(t, a.view().Members, 3, "a silent member that the platform lists as live stays")
+	c.list(a, b)
+	c.eventually("removed", func() bool { return len(a.view().Members) == 2 && len(b.view().Members) == 2 })
+	silence(b)
+	b.down.Store(true)
+	start = c.clock.Now()
+	c.list(a)
+	c.eventually("group without majority replaced", func() bool { return len(a.view().Members) == 1 })
+	require.GreaterOrEqual(t, c.clock.Now()-start, 2*time.Second, "not before the cut-off hold")
+}
+
+// Guards against a lost zone whose keys are never served again, or are given away before the zone must have stopped.
+func TestLostZoneIsTakenOver(t *testing.T) {
+	c := newCluster(t)
+	a, b, d := c.start("a", control.Settings{}), c.start("b", control.Settings{}), c.start("c", control.Settings{})
+	silence := c.heartbeats(a, b, d)
+	config := testConfig(operator.Zone{Name: "a"}, operator.Zone{Name: "b"}, operator.Zone{Name: "c"})
+	for _, n := range []*node{a, b, d} {
+		n.tell(t, service.ConfigChanged{Config: config, Version: 1})
+		held := map[service.LeaseName]service.HeldLease{service.DelegateLease(n.self.Zone): {Term: 1, Until: 1 << 62}}
+		n.tell(t, service.LeaseChanged{View: &service.LeaseView{Held: held}})
+	}
+	c.eventually("assigned", func() bool { return owners(a.view())["c1"] > 0 && len(a.view().Members) == 3 })
+	silence(d)
+	d.down.Store(true)
+	c.eventually("zone lost", func() bool { return len(a.view().LostZones) == 1 })
+	lostAt := c.clock.Now()
+	c.eventually("taken over", func() bool {
+		counts := owners(a.view())
+		return counts["c1"]+counts["c2"]+counts["moving"] == 0
+	})
+	// cutoff_hold 2s, lease 400ms, session 400ms, max_run 1s.
+	require.GreaterOrEqual(t, c.clock.Now()-lostAt, 3800*time.Millisecond)
+	require.Contains(t, a.view().LostZones, entity.Zone("c"))
+}
+
+// Guards against a confirmed loss that waits for a zone that the operator knows to be stopped.
+func TestConfirmedLossIsTakenOverAtOnce(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.start("a", control.Settings{}), c.start("b", control.Settings{})
+	zones := []operator.Zone{{Name: "a"}, {Name: "b"}}
+	for _, n := range []*node{a, b} {
+		n.tell(t, service.ConfigChanged{Config: testConfig(zones...), Version: 1})
+	}
+	c.eventually("assigned", func() bool { return owners(a.view())["b1"] > 0 && len(a.view().Members) == 2 })
+	b.down.Store(true)
+	zones[1].State = operator.ZoneLost
+	start := c.clock.Now()
+	a.tell(t, service.ConfigChanged{Config: testConfig(zones...), Version: 2})
+	c.eventually("taken over", func() bool {
+		counts := owners(a.view())
+		return counts["a1"]+counts["a2"] == 16
+	})
+	require.Less(t, c.clock.Now()-start, 3800*time.Millisecond)
+}
+
+// Guards against a drained back end or a removed service that keeps its partitions.
+func TestDrainAndRemovalMovePartitions(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", control.Settings{})
+	config := testConfig(operator.Zone{Name: "a"})
+	a.tell(t, service.ConfigChanged{Config: config, Version: 1})
+	c.eventually("assigned", func() bool { return owners(a.view())["a1"] == 8 })
+	config = testConfig(operator.Zone{Name: "a"})
+	config.Services[0].Backends[0].State = operator.BackendDrain
+	a.tell(t, service.ConfigChanged{Config: config, Version: 2})
+	c.eventually("moving in steps", func() bool { return owners(a.view())["moving"] > 0 })
+	require.Less(t, owners(a.view())["moving"], 8)
+	a.tell(t, service.ConfigChanged{Config: &operator.Config{Zones: config.Zones}, Version: 3})
+	c.eventually("service forgotten", func() bool { return len(a.view().Services) == 0 })
+}
--- /dev/null
+++ b/internal/service/control/losses.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/decide/placement"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// losses records at once which back ends are down or up again, and moves the partitions of those that are down.
+type losses struct {
+	logger *zap.Logger
+	// reported maps back ends to whether the last report says that they are lost.
+	reported map[entity.BackendID]bool
+}
+
+func newLosses(logger *zap.Logger) *losses {
+	return &losses{logger: logger, reported: map[entity.BackendID]bool{}}
+}
+
+func (l *losses) lost(id entity.BackendID) {
+	l.reported[id] = true
+	telemetry.EventControlBackendLost.Log(l.logger, zap.String("backend", string(id)))
+}
+
+func (l *losses) back(id entity.BackendID) {
+	l.reported[id] = false
+	telemetry.EventControlBackendBack.Log(l.logger, zap.String("backend", string(id)))
+}
+
+func (l *losses) next(s *situation) ownership.Record {
+	if len(l.reported) == 0 || !s.config.known {
+		return nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.reported)) {
+		backend, configured := s.config.backends[id]
+		view := s.view.Services[backend.service]
+		if !configured {
+			delete(l.reported, id)
+			continue
+		}
+		if view == nil {
+			continue // there is nothing to record it in before the first assignment
+		}
+		if _, down := view.Down[id]; down == l.reported[id] {
+			delete(l.reported, id)
+			continue
+		}
+		return l.record(s, id, backend.service, view)
+	}
+	return nil
+}
+
+func (l *losses) record(
+	s *situation, id entity.BackendID, name entity.ServiceName, view *ownership.ServiceView,
+) ownership.Record {
+	move := ownership.Move{Service: name, Version: view.Version, Count: view.Count}
+	if !l.reported[id] {
+		move.Up = []entity.BackendID{id}
+		return move
+	}
+	move.Down = []entity.BackendID{id}
+	input := placementInput(s, name, view, nil)
+	for i := range input.Backends {
+		if input.Backends[i].ID == id {
+			input.Backends[i].State = placement.Lost
+		}
+	}
+	for _, m := range placement.Propose(input, placement.DefaultSettings()) {
+		if m.Reason == placement.ReasonLost || m.Reason == placement.ReasonRedirect {
+			move.Steps = append(move.Steps, ownership.MoveStep{Partition: m.Partition, To: m.To})
+		}
+	}
+	move.Steps = fitting(move.Steps)
+	return move
+}
+
+// maxStepsBytes bounds the steps of a Move in encoded bytes, well below the largest record.
+const maxStepsBytes = 48 << 10
+
+// stepBytes is an upper bound of the encoded size of a step without the name of its back end.
+const stepBytes = 16
+
+// fitting returns the steps that fit into one record. The rest follows in the next one.
+func fitting(steps []ownership.MoveStep) []ownership.MoveStep {
+	size := 0
+	for i, step := range steps {
+		size += stepBytes + len(step.To)
+		if size > maxStepsBytes {
+			return steps[:i]
+		}
+	}
+	return steps
+}
--- /dev/null
+++ b/internal/service/control/recent.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/platform"
+)
+
+// Bounds of the records kept for peers that cannot reach the platform. At several hundred appends a second the count is
+// about ten seconds, far longer than a peer needs to notice; the size holds 64 full records.
+const (
+	maxRecent      = 4096
+	maxRecentBytes = 4 << 20
+)
+
+// recentRecords are the last replayed records, consecutive and bounded.
+type recentRecords struct {
+	records []platform.Record
+	bytes   int
+}
+
+func (r *recentRecords) reset() { *r = recentRecords{} }
+
+func (r *recentRecords) add(record platform.Record) {
+	if n := len(r.records); n > 0 && r.records[n-1].Offset+1 != record.Offset {
+		r.reset()
+	}
+	r.records = append(r.records, record)
+	r.bytes += len(record.Payload)
+	for len(r.records) > maxRecent || r.bytes > maxRecentBytes {
+		r.bytes -= len(r.records[0].Payload)
+		r.records[0] = platform.Record{}
+		r.records = r.records[1:]
+	}
+}
+
+// from returns the records from an offset on, and false if one of them is not kept. Next is the offset after the last
+// replayed record.
+func (r *recentRecords) from(offset, next entity.Offset, limit int) ([]platform.Record, bool) {
+	if offset >= next {
+		return nil, offset == next
+	}
+	if len(r.records) == 0 || offset < r.records[0].Offset {
+		return nil, false
+	}
+	rest := r.records[offset-r.records[0].Offset:]
+	return append([]platform.Record{}, rest[:min(max(limit, 0), len(rest))]...), true
+}
--- /dev/null
+++ b/internal/service/control/roster.go
@@ -0,0 +1,335 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// candidateFor is how long a request to join counts. It is repeated every joinInterval.
+const candidateFor = 5 * joinInterval
+
+// maxCandidates bounds the requests remembered. The rest ask again.
+const maxCandidates = 64
+
+// roster joins this instance, lets others join, and removes dead members. Of each group it changes one member at a time.
+type roster struct {
+	settings Settings
+	logger   *zap.Logger
+	reports  map[ownership.GroupKey]service.RosterReport
+	// versions holds the group versions applied here and when.
+	versions map[ownership.GroupKey]appliedVersion
+	// knownSince is when a member became known here, or last wrote a record.
+	knownSince map[entity.InstanceID]time.Duration
+	peers      map[entity.InstanceID]service.PeerState
+	candidates map[entity.InstanceID]candidate
+	requestAt  time.Duration
+	hasAsked   bool
+	// left is closed once this instance is out of the roster; nil unless it stops.
+	left   chan<- struct{}
+	done   bool
+	joined bool
+	list   instanceList
+}
+
+type appliedVersion struct {
+	version uint64
+	at      time.Duration
+}
+
+type candidate struct {
+	member ownership.Member
+	at     time.Duration
+}
+
+func newRoster(settings Settings, logger *zap.Logger) *roster {
+	return &roster{
+		settings:   settings,
+		logger:     logger,
+		reports:    map[ownership.GroupKey]service.RosterReport{},
+		versions:   map[ownership.GroupKey]appliedVersion{},
+		knownSince: map[entity.InstanceID]time.Duration{},
+		peers:      map[entity.InstanceID]service.PeerState{},
+		candidates: map[entity.InstanceID]candidate{},
+		list:       instanceList{goneSince: map[entity.InstanceID]time.Duration{}},
+	}
+}
+
+// applied notes when members and group versions became known here, and forgets those that are gone.
+func (r *roster) applied(now time.Duration, v *ownership.View) {
+	for key, version := range v.GroupVersions {
+		if r.versions[key].version != version {
+			r.versions[key] = appliedVersion{version: version, at: now}
+		}
+	}
+	for key := range r.versions {
+		if _, ok := v.GroupVersions[key]; !ok {
+			delete(r.versions, key)
+			delete(r.reports, key)
+		}
+	}
+	members := make(map[entity.InstanceID]bool, len(v.Members))
+	for _, m := range v.Members {
+		members[m.ID] = true
+		if _, ok := r.knownSince[m.ID]; !ok {
+			r.knownSince[m.ID] = now
+		}
+		delete(r.candidates, m.ID)
+	}
+	for id := range r.knownSince {
+		if !members[id] {
+			delete(r.knownSince, id)
+			delete(r.list.goneSince, id)
+			delete(r.peers, id)
+		}
+	}
+}
+
+// maxPeers bounds the peers remembered that are not members.
+const maxPeers = 1024
+
+func (r *roster) heard(p service.PeerState) {
+	if _, member := r.knownSince[p.Instance]; !member && len(r.peers) >= len(r.knownSince)+maxPeers {
+		return
+	}
+	if last, ok := r.peers[p.Instance]; !ok || p.At >= last.At {
+		r.peers[p.Instance] = p
+	}
+}
+
+// wrote notes that an instance is alive because it appended a record.
+func (r *roster) wrote(now time.Duration, id entity.InstanceID) {
+	if _, member := r.knownSince[id]; member {
+		r.knownSince[id] = now
+	}
+}
+
+// requested remembers a request to join this instance's zone.
+func (r *roster) requested(m ownership.Member, self service.Self) {
+	if m.Zone != self.Zone || m.ID == self.ID || len(r.candidates) >= maxCandidates {
+		return
+	}
+	r.candidates[m.ID] = candidate{member: m, at: -1}
+}
+
+// settled reports whether the next change of a group may follow: its last one has been known to a majority for the lease
+// time, or so long that every instance that does not know it has stopped acting.
+func (r *roster) settled(s *situation, key ownership.GroupKey) bool {
+	version := s.view.GroupVersions[key]
+	if version == 0 {
+		return true
+	}
+	report := r.reports[key]
+	if report.Version == version && s.now-report.Since >= withDrift(r.settings.LeaseTTL) {
+		return true
+	}
+	last, ok := r.versions[key]
+	return ok && s.now-last.at >= r.hold(s)
+}
+
+// hold is the time after which an instance that is cut off has stopped acting.
+func (r *roster) hold(s *situation) time.Duration {
+	return withDrift(s.config.longestHold + r.settings.LeaseTTL)
+}
+
+func (r *roster) next(s *situation) ownership.Record {
+	self, member := s.member()
+	switch {
+	case r.left != nil && member:
+		return r.leave(s, self)
+	case r.left != nil:
+		return nil
+	case !member:
+		return r.join(s)
+	}
+	if !r.joined {
+		r.joined = true
+		telemetry.EventControlJoined.Log(r.logger, zap.Uint32("group", self.Group))
+	}
+	if record := r.admit(s); record != nil {
+		return record
+	}
+	return r.remove(s, self)
+}
+
+func (r *roster) leave(s *situation, self ownership.Member) ownership.Record {
+	key := ownership.GroupKey{Zone: self.Zone, Group: self.Group}
+	if !r.settled(s, key) {
+		return nil
+	}
+	return ownership.Leave{Group: key, Version: s.view.GroupVersions[key], Instance: self.ID}
+}
+
+// finishLeave ends the wait of Stop once this instance is out of the roster and no append could bring it back.
+func (r *roster) finishLeave(s *situation, busy bool) {
+	if r.left == nil {
+		return
+	}
+	if _, member := s.member(); !member && !busy {
+		if !r.done {
+			close(r.left)
+		}
+		r.done = true
+	}
+}
+
+func (r *roster) join(s *situation) ownership.Record {
+	key := s.view.JoinGroup(s.self.Zone)
+	member := ownership.Member{ID: s.self.ID, Zone: s.self.Zone, Address: s.self.Address, Group: key.Group}
+	if r.settled(s, key) {
+		return ownership.Join{Version: s.view.GroupVersions[key], Member: member}
+	}
+	if r.hasAsked && s.now-r.requestAt < joinInterval {
+		return nil
+	}
+	r.hasAsked = true
+	r.requestAt = s.now
+	return ownership.JoinRequest{Member: member}
+}
+
+// admit lets a candidate join. Members do it because only they know when the group has settled.
+func (r *roster) admit(s *situation) ownership.Record {
+	ids := make([]entity.InstanceID, 0, len(r.candidates))
+	for id, c := range r.candidates {
+		if c.at < 0 {
+			c.at = s.now
+			r.candidates[id] = c
+		}
+		if s.now-c.at > candidateFor {
+			delete(r.candidates, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	key := s.view.JoinGroup(s.self.Zone)
+	if !r.settled(s, key) {
+		return nil
+	}
+	member := r.candidates[slices.Min(ids)].member
+	member.Group = key.Group
+	return ownership.Join{Version: s.view.GroupVersions[key], Member: member}
+}
+
+// remove takes dead members out of the own group, one at a time, or all dead ones of a group that has lost its majority.
+func (r *roster) remove(s *situation, self ownership.Member) ownership.Record {
+	key := ownership.GroupKey{Zone: self.Zone, Group: self.Group}
+	group := s.view.Group(key)
+	var dead []entity.InstanceID
+	silent, overdue := 0, 0
+	for _, m := range group {
+		quiet := r.quietFor(s, m)
+		if quiet < silence {
+			continue
+		}
+		silent++
+		if !r.gone(s, m) {
+			continue
+		}
+		dead = append(dead, m.ID)
+		if quiet >= r.hold(s) {
+			overdue++
+		}
+	}
+	switch {
+	case len(dead) == 0:
+		return r.removeGroup(s, key)
+	case 2*(len(group)-silent) <= len(group) && overdue == len(dead):
+		r.logRemoval(key, dead)
+		return ownership.ForcedLeave{Group: key, Version: s.view.GroupVersions[key], Instances: dead}
+	case r.settled(s, key) && 2*(len(group)-silent) > len(group):
+		r.logRemoval(key, dead[:1])
+		return ownership.Leave{Group: key, Version: s.view.GroupVersions[key], Instance: dead[0]}
+	}
+	return nil
+}
+
+func (r *roster) logRemoval(key ownership.GroupKey, ids []entity.InstanceID) {
+	telemetry.EventControlMemberRemoved.Log(r.logger,
+		zap.String("zone", string(key.Zone)), zap.Uint32("group", key.Group), zap.Any("instances", ids))
+}
+
+// quietFor returns how long a member has not been heard here.
+func (r *roster) quietFor(s *situation, m ownership.Member) time.Duration {
+	if m.ID == s.self.ID {
+		return 0
+	}
+	last := r.knownSince[m.ID]
+	if p, ok := r.peers[m.ID]; ok {
+		last = max(last, p.At)
+	}
+	return s.now - last
+}
+
+// gone reports whether the platform no longer lists a member as live, or another process has its address. A list without
+// this instance proves nothing about others.
+func (r *roster) gone(s *situation, m ownership.Member) bool {
+	if m.ID == s.self.ID || !r.list.fresh(s.now) || !r.list.live[s.self.Address] {
+		return false
+	}
+	return !r.list.live[m.Address] || r.replaced(s.view, m)
+}
+
+// replaced reports whether another instance at the member's address joined or was heard later.
+func (r *roster) replaced(v *ownership.View, m ownership.Member) bool {
+	after := false
+	for _, other := range v.Members {
+		if other.ID == m.ID {
+			after = true
+		} else if after && other.Address == m.Address {
+			return true
+		}
+	}
+	for _, p := range r.peers {
+		if p.Instance != m.ID && p.Address == m.Address && p.At > r.peers[m.ID].At {
+			return true
+		}
+	}
+	return false
+}
+
+// removeGroup takes out a whole other group of which no member is live for the hold. No member of it can do that.
+func (r *roster) removeGroup(s *situation, own ownership.GroupKey) ownership.Record {
+	delay, ok := s.ranks.delay(rosterTask)
+	if !ok || len(r.list.goneSince) == 0 {
+		return nil
+	}
+	keys := make([]ownership.GroupKey, 0, len(s.view.GroupVersions))
+	for key := range s.view.GroupVersions {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b ownership.GroupKey) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Group, b.Group))
+	})
+	for _, key := range keys {
+		if key == own {
+			continue
+		}
+		if ids, all := r.allGone(s, key, r.hold(s)+delay); all {
+			r.logRemoval(key, ids)
+			return ownership.ForcedLeave{Group: key, Version: s.view.GroupVersions[key], Instances: ids}
+		}
+	}
+	return nil
+}
+
+func (r *roster) allGone(s *situation, key ownership.GroupKey, wait time.Duration) ([]entity.InstanceID, bool) {
+	var ids []entity.InstanceID
+	for _, m := range s.view.Group(key) {
+		since, gone := r.list.goneSince[m.ID]
+		if !gone || s.now-since < wait || r.quietFor(s, m) < wait {
+			return nil, false
+		}
+		ids = append(ids, m.ID)
+	}
+	return ids, len(ids) > 0
+}
--- /dev/null
+++ b/internal/service/control/writer.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/internal/records"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// writer appends one record at a time. A record is under way until its replay.
+type writer struct {
+	sequence uint64
+	pending  *pendingRecord
+	failed   bool // the last try failed, and that was logged
+	// idleUntil is the time before which nothing is appended, after a record that the platform refused.
+	idleUntil time.Duration
+}
+
+type pendingRecord struct {
+	record ownership.Record
+	draft  platform.Draft
+}
+
+func (w *writer) busy(now time.Duration) bool { return w.pending != nil || now < w.idleUntil }
+
+type (
+	appendAgain struct{}
+	appendDone  struct {
+		sequence uint64
+		err      error
+	}
+)
+
+// append begins the append of a record with the next sequence.
+func (s *Service) append(turn *kernel.Turn, record ownership.Record) {
+	payload, err := records.Encode(record)
+	if err != nil {
+		// Names of the configuration can make a record too large. Nothing is lost: the decision is made again.
+		telemetry.EventControlEncodeFailed.Log(s.logger, zap.Error(err))
+		s.writer.idleUntil = turn.Now() + retryInterval
+		return
+	}
+	s.writer.sequence++
+	s.writer.pending = &pendingRecord{record: record, draft: platform.Draft{
+		Writer: string(s.self.ID), Sequence: s.writer.sequence, Payload: payload,
+	}}
+	s.counters.appends.Inc(1)
+	s.startAppend(turn)
+}
+
+func (s *Service) startAppend(turn *kernel.Turn) {
+	if s.writer.pending == nil {
+		return // replayed meanwhile: only the answer was lost
+	}
+	draft, log := s.writer.pending.draft, s.log
+	turn.Go(func(ctx context.Context) kernel.Message {
+		_, err := log.Append(ctx, platform.StreamControl, draft)
+		return appendDone{sequence: draft.Sequence, err: err}
+	})
+}
+
+// finishAppend repeats a failed append with the same sequence, so that replay drops it if it had taken effect. A good
+// append stays pending until its replay.
+func (s *Service) finishAppend(turn *kernel.Turn, m appendDone) {
+	pending := s.writer.pending
+	if pending == nil || pending.draft.Sequence != m.sequence {
+		return
+	}
+	switch {
+	case m.err == nil:
+		s.writer.failed = false
+	case errors.Is(m.err, platform.ErrRejected):
+		// The record has no effect. The decision is made again from the state after the wait.
+		telemetry.EventControlAppendRejected.Log(s.logger, zap.Error(m.err))
+		s.writer.pending = nil
+		s.writer.idleUntil = turn.Now() + retryInterval
+	default:
+		s.counters.appendErrors.Inc(1)
+		if !s.writer.failed {
+			telemetry.EventControlAppendFailed.Log(s.logger, zap.Error(m.err))
+		}
+		s.writer.failed = true
+		turn.After(retryInterval, appendAgain{})
+	}
+}
+
+// forgetReplayed ends the append under way if its record is part of a restored state.
+func (s *Service) forgetReplayed() {
+	if p := s.writer.pending; p != nil && s.state.LastSequence(s.self.ID) >= p.draft.Sequence {
+		s.writer.pending = nil
+	}
+}
+
+// ownReplayed ends the append that a replayed record of this instance belongs to.
+func (s *Service) ownReplayed(record platform.Record, decoded ownership.Record, verdict ownership.Verdict) {
+	pending := s.writer.pending
+	if pending == nil || record.Sequence != pending.draft.Sequence {
+		return
+	}
+	s.writer.pending = nil
+	if !verdict.Applied {
+		telemetry.EventControlDropped.Log(s.logger,
+			zap.Uint64("offset", uint64(record.Offset)), zap.String("reason", string(verdict.Reason)))
+		return
+	}
+	if checkpoint, ok := decoded.(ownership.Checkpoint); ok {
+		s.checkpoints.written(checkpoint.Chunk.Index)
+		if checkpoint.Chunk.Index+1 == checkpoint.Chunk.Total {
+			s.counters.checkpoints.Inc(1)
+			telemetry.EventControlCheckpoint.Log(s.logger, zap.Uint64("offset", uint64(record.Offset)))
+		}
+	}
+}
