--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -160,7 +160,6 @@
 	switch m := msg.(type) {
 	case started:
 		s.reader.startedAt = turn.Now()
-		s.publish(turn)
 		s.startRead(turn)
 		turn.After(tickInterval, ticked{})
 	case ticked:
