Refuse authority to a zone that has not replayed its loss

Cause: a zone that was declared lost and whose keys were taken over could return while its log connection was still down, win its authority from the other zones and act on the owners of the time before its loss. Ruled out: trusting the zones' own view of lost zones only, since a voter may itself not have read the record. Change: a zone's delegate votes for another zone only if that zone has applied the control offset by which its loss or return is known; a claim of a silent zone's authority carries that offset to voters that have not read it. Relayed authority counts only if the relaying peer has applied no more than the instance itself, and an instance that knows its zone is lost acts for nothing. Conclusion: a service test returns a zone without its log; it gets its authority back only after the replay.

--- a/internal/service/lease/authority.go
+++ b/internal/service/lease/authority.go
@@ -91,16 +91,30 @@
 	}
 }
 
-// voteForZone answers another zone's claims. There is no vote for a zone that is declared lost, until it is back.
+// voteForZone answers another zone's claims. A zone that is declared lost, or that has not replayed its loss and return,
+// gets no vote: it would act on owners of the time before its loss.
 func (s *Service) voteForZone(now time.Duration, req service.HeartbeatRequest, r *service.HeartbeatResponse) {
 	s.zones.Holder.Heard(now, lease.Member(req.Zone), req.Leaving)
-	if s.declaredLost(req.Zone) {
+	if s.declaredLost(req.Zone) || req.ControlOffset < s.knownLoss[req.Zone] {
 		return
 	}
+	s.noteSeizures(req)
 	r.Voter = string(s.self.Zone)
 	r.Results = toResults(req.Claims, s.zones.Vote(now, lease.Member(req.Instance), req.RosterVersion, claims(req.Claims)))
 }
 
+// noteSeizures remembers that another zone claims the authority of a silent one: the loss of that zone is recorded at the
+// claimant's offset or will be, and this instance may never read the record itself.
+func (s *Service) noteSeizures(req service.HeartbeatRequest) {
+	for _, zone := range s.zoneRoster.Members {
+		z := entity.Zone(zone)
+		seized := func(c service.LeaseClaim) bool { return c.Name == service.AuthorityLease(z) && !c.Release }
+		if z != req.Zone && slices.ContainsFunc(req.Claims, seized) {
+			s.knownLoss[z] = max(s.knownLoss[z], req.ControlOffset)
+		}
+	}
+}
+
 // answeredByZone counts the vote of another zone.
 func (s *Service) answeredByZone(t *kernel.Turn, c call, r service.HeartbeatResponse) {
 	now := t.Now()
--- a/internal/service/lease/evidence.go
+++ b/internal/service/lease/evidence.go
@@ -34,10 +34,14 @@
 	}
 }
 
-// relayed takes a peer's answer to a heartbeat sent at sentAt. The peer's proof is at least as old as its age at that time.
-// A peer that has applied more than this instance proves nothing for it.
+// relayed takes a peer's answer to a heartbeat sent at sentAt. The peer's proofs are at least as old as their ages at that
+// time. A peer that has applied more than this instance proves nothing for it: the proofs belong to the peer's view, in which
+// partitions may have other owners.
 func (e *evidence) relayed(sentAt time.Duration, r service.HeartbeatResponse, sameZone bool) {
-	if r.FreshnessAge >= 0 && r.ControlOffset <= e.offset {
+	if r.ControlOffset > e.offset {
+		return
+	}
+	if r.FreshnessAge >= 0 {
 		e.freshAt = max(e.freshAt, sentAt-stretched(r.FreshnessAge))
 	}
 	if sameZone && r.AuthorityAge >= 0 {
--- a/internal/service/lease/publish.go
+++ b/internal/service/lease/publish.go
@@ -57,6 +57,10 @@
 		FreshUntil:     s.evidence.freshAt + s.settings.FreshFor,
 		AuthorityUntil: s.evidence.authorityAt + s.settings.AuthorityTTL,
 	}
+	if s.declaredLost(s.self.Zone) {
+		// Other zones take this zone's keys over. Its instances renew nothing, however fresh their view is.
+		view.FreshUntil, view.AuthorityUntil = never, never
+	}
 	addLeases(view, s.group, now)
 	if s.isDelegate(now) {
 		addLeases(view, s.zones, now)
--- a/internal/service/lease/roster.go
+++ b/internal/service/lease/roster.go
@@ -29,6 +29,7 @@
 }
 
 func (s *Service) ownershipChanged(t *kernel.Turn, view *ownership.View) {
+	s.noteLosses(view)
 	s.view = view
 	s.evidence.offset = max(s.evidence.offset, view.Offset)
 	key := ownership.GroupKey{Zone: s.self.Zone}
@@ -54,6 +55,21 @@
 	s.want(t)
 }
 
+// noteLosses remembers the offset by which a loss or return of a zone was recorded.
+func (s *Service) noteLosses(view *ownership.View) {
+	for zone := range view.LostZones {
+		s.knownLoss[zone] = max(s.knownLoss[zone], view.LostZones[zone]+1)
+	}
+	if s.view == nil {
+		return
+	}
+	for zone := range s.view.LostZones {
+		if _, lost := view.LostZones[zone]; !lost {
+			s.knownLoss[zone] = max(s.knownLoss[zone], view.Offset)
+		}
+	}
+}
+
 // changeGroup leaves one group for another. The vote starts anew there and promises nothing for the start wait.
 func (s *Service) changeGroup(t *kernel.Turn, key ownership.GroupKey) {
 	s.applyGroup(t, s.group.Stop(t.Now()))
--- a/internal/service/lease/service.go
+++ b/internal/service/lease/service.go
@@ -76,6 +76,9 @@
 	zones      *lease.Participant
 	zoneRoster lease.Roster
 	contacts   map[entity.Zone]*contact
+	// knownLoss is the offset that a zone must have applied before it gets this zone's vote: a loss of the zone may be
+	// recorded before it.
+	knownLoss map[entity.Zone]entity.Offset
 
 	leaving  bool
 	stopping *stopping
@@ -103,6 +106,7 @@
 	return &Service{
 		self: self, settings: settings, log: log, evidence: newEvidence(),
 		peers: map[entity.InstanceID]*peer{}, contacts: map[entity.Zone]*contact{},
+		knownLoss: map[entity.Zone]entity.Offset{},
 		counters: counters{
 			sent: counter("heartbeats.sent"), answered: counter("heartbeats.answered"),
 			failed: counter("heartbeats.failed"), skipped: counter("heartbeats.skipped"),
--- a/internal/service/lease/service_test.go
+++ b/internal/service/lease/service_test.go
@@ -126,23 +126,33 @@
 	require.NotNil(t, c.holder(service.AuthorityLease("a")))
 }
 
-// Guards against a declared loss that does not end a zone's authority, and a return that does not give it back.
+// Guards against a declared loss that does not end a zone's authority, a return that does not give it back, and a returned
+// zone that acts on owners of the time before its loss because it has not replayed it.
 func TestZoneDeclaredLostGetsNoAuthority(t *testing.T) {
 	c := newCluster(t, []string{"a", "b", "c"}, 1, 1)
 	c.run(4*time.Second, nil)
-	require.Equal(t, entity.Zone("a"), c.holder(service.AuthorityLease("a")).self.Zone)
+	c.platformDown = true
+	require.Same(t, c.nodes[0], c.holder(service.AuthorityLease("a")))
+	lost, back := *c.view, *c.view
+	lost.Offset, lost.LostZones = 110, map[entity.Zone]entity.Offset{"a": 105}
+	back.Offset = 120
 	for _, n := range c.nodes[1:] {
-		lost := *c.view
-		lost.LostZones = map[entity.Zone]entity.Offset{"a": 101}
 		c.send(n, service.OwnershipChanged{View: &lost})
 	}
 	c.run(3*time.Second, nil)
-	require.NotEqual(t, entity.Zone("a"), c.holder(service.AuthorityLease("a")).self.Zone)
-	for _, n := range c.nodes {
-		c.send(n, service.OwnershipChanged{View: c.view})
-	}
+	require.NotSame(t, c.nodes[0], c.holder(service.AuthorityLease("a")))
+	c.send(c.nodes[0], service.OwnershipChanged{View: &lost})
+	c.settle()
+	require.Empty(t, c.primaries("a"), "within the cut-off hold, but it knows that it is lost")
+
+	c.send(c.nodes[1], service.OwnershipChanged{View: &back})
+	c.send(c.nodes[2], service.OwnershipChanged{View: &back})
+	c.run(5*time.Second, nil)
+	require.NotSame(t, c.nodes[0], c.holder(service.AuthorityLease("a")), "has not replayed its return")
+	c.send(c.nodes[0], service.OwnershipChanged{View: &back})
 	c.run(5*time.Second, nil)
-	require.Equal(t, entity.Zone("a"), c.holder(service.AuthorityLease("a")).self.Zone)
+	require.Same(t, c.nodes[0], c.holder(service.AuthorityLease("a")))
+	require.Len(t, c.primaries(), 3)
 }
 
 // Guards against a planned stop that leaves its back ends to lapse.
