Remove a duplicate declaration from the service contracts

OwnershipSource came in twice, through the contracts and through the relay of records.

ValidName also refuses an empty name, so that callers need no check of their own.

--- a/internal/service/peersource.go
+++ b/internal/service/peersource.go
@@ -4,16 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/platform"
 )
 
-// OwnershipSource gives traffic goroutines the replayed ownership state; nil before the first.
-type OwnershipSource interface {
-	Ownership() *ownership.View
-}
-
 // StateSource fetches the replayed control state of another instance, for a start while the platform is down. The service
 // Peers implements it.
 type StateSource interface {
--- a/operator/validate.go
+++ b/operator/validate.go
@@ -110,7 +110,7 @@
 	switch {
 	case name == "":
 		v.refuse(at, "name", "is missing")
-	case !validName(name):
+	case !ValidName(name):
 		v.refuse(at, "name", "must be 1 to 63 letters, digits, dots, dashes or underscores and begin with a letter or digit")
 	case seen[name]:
 		v.refuse(at, "name", "%s %q is defined twice", kind, name)
@@ -118,9 +118,9 @@
 	seen[name] = true
 }
 
-// validName keeps names usable as a path segment, in lease names and in logs.
-func validName(name string) bool {
-	if len(name) > maxName {
+// ValidName reports whether a name is usable as a path segment, in lease names and in logs.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxName {
 		return false
 	}
 	for i, r := range []byte(name) {
