--- a/internal/service/peersource.go
+++ b/internal/service/peersource.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/platform"
 )
@@ -64,3 +65,8 @@
 	Zone  entity.Zone
 	Stand bool
 }
+
+// OwnershipSource gives traffic goroutines the replayed ownership state; nil before the first.
+type OwnershipSource interface {
+	Ownership() *ownership.View
+}
