Drain all services before any stops

A planned stop stopped the peer server before dispatch had ended the requests that other instances had forwarded. The kernel now calls Drain on all services first, while everything they need still runs. The membership service is dropped from the names: control and lease decide on the roster.

--- /dev/null
+++ b/cmd/pollenpier/main.go
@@ -0,0 +1,61 @@
+// Command pollenpier runs and operates the router.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the program.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// commands are the subcommands. Each has an Execute method.
+type commands struct {
+	Serve   serveCommand   `command:"serve" description:"Run one instance from a settings file"`
+	Check   checkCommand   `command:"check" description:"Validate an instance's settings or a configuration without starting anything"`
+	Publish publishCommand `command:"publish" description:"Append a configuration and report whether it was accepted"`
+	Status  statusCommand  `command:"status" description:"Ask a running instance for its view"`
+	Standin standinCommand `command:"standin" description:"Run a stand-in of an outer system, for trials and tests"`
+	Demo    demoCommand    `command:"demo" description:"Run a whole site on loopback in one process"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run executes the command line and returns the exit code.
+func run(args []string) int {
+	parser := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "pollenpier"
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, "pollenpier:", usage.Message)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "pollenpier:", err)
+		return exitFailed
+	}
+}
+
+// signalContext ends at the first SIGINT or SIGTERM. A second signal ends the process at once.
+func signalContext() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -34,6 +34,12 @@
 	Handle(*Turn, Message)
 }
 
+// Drainer is a service that ends its work before anything stops. Drain is called in reverse order of dependencies on all
+// started services, while all of them still run, so that work in progress can use the services that it needs.
+type Drainer interface {
+	Drain(context.Context) error
+}
+
 // Validator is a service that checks its settings after Provision and before anything starts.
 type Validator interface {
 	Validate() error
@@ -147,9 +153,10 @@
 	return nil
 }
 
-// Stop stops the started services in reverse order, then the control goroutine and its workers.
+// Stop drains the started services and then stops them, each in reverse order, and ends the control goroutine and its
+// workers.
 func (k *Kernel) Stop(ctx context.Context) error {
-	var failed error
+	failed := k.drain(ctx)
 	for i := len(k.started) - 1; i >= 0; i-- {
 		s := k.started[i]
 		if err := s.Stop(ctx); err != nil {
@@ -168,6 +175,21 @@
 	return failed
 }
 
+// drain ends the work of the started services in reverse order.
+func (k *Kernel) drain(ctx context.Context) error {
+	var failed error
+	for i := len(k.started) - 1; i >= 0; i-- {
+		d, ok := k.started[i].(Drainer)
+		if !ok {
+			continue
+		}
+		if err := d.Drain(ctx); err != nil {
+			failed = errors.Join(failed, errors.Wrapf(err, "drain service %q", k.started[i].Name()))
+		}
+	}
+	return failed
+}
+
 // Post hands a message to a service without waiting. It reports false, and counts the loss, when the mailbox is full.
 // Traffic goroutines use it for messages that may be lost.
 func (k *Kernel) Post(to Name, msg Message) bool {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -44,6 +44,11 @@
 	return nil
 }
 
+func (r *recorder) Drain(context.Context) error {
+	*r.trace = append(*r.trace, "drain "+string(r.name))
+	return nil
+}
+
 func (r *recorder) Handle(t *kernel.Turn, m kernel.Message) {
 	r.got = append(r.got, m)
 	if r.onMessage != nil {
@@ -51,7 +56,7 @@
 	}
 }
 
-// Guards against services that start before what they need, or stop after it.
+// Guards against services that start before what they need, stop after it, or stop while others still drain.
 func TestStartsInDependencyOrderAndStopsInReverse(t *testing.T) {
 	var trace []string
 	a := &recorder{name: "a", needs: []kernel.Name{"b"}, lookup: "b", trace: &trace}
@@ -60,7 +65,7 @@
 	require.NoError(t, err)
 	require.NoError(t, k.Start(context.Background()))
 	require.NoError(t, k.Stop(context.Background()))
-	require.Equal(t, []string{"start b", "start a", "stop a", "stop b"}, trace)
+	require.Equal(t, []string{"start b", "start a", "drain a", "drain b", "stop a", "stop b"}, trace)
 }
 
 // Guards against a registry that accepts a wrong set of services and fails later, under traffic.
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -21,7 +21,7 @@
 
 // listeners get OwnershipChanged.
 var listeners = []kernel.Name{
-	service.Lease, service.Session, service.Routing, service.Dispatch, service.Membership, service.Admission,
+	service.Lease, service.Session, service.Routing, service.Dispatch, service.Admission,
 }
 
 // Service is the service named control. Its fields below the snapshot belong to the control goroutine.
--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -81,7 +81,7 @@
 		n.control, &fakePlatform{Fake: c.log, down: &n.down}, &fakePeers{cluster: c}, &fakeLease{self: n.self},
 	}
 	for _, name := range []kernel.Name{
-		service.Session, service.Routing, service.Dispatch, service.Membership, service.Admission,
+		service.Session, service.Routing, service.Dispatch, service.Admission,
 	} {
 		services = append(services, &sink{name: name})
 	}
--- a/internal/service/gateway/gateway.go
+++ b/internal/service/gateway/gateway.go
@@ -153,8 +153,11 @@
 // Address returns the bound address of the callers' listener.
 func (g *Gateway) Address() string { return g.open.socket.Addr().String() }
 
-// Stop reports not ready, waits for the balancer to notice and for the running requests to end.
-func (g *Gateway) Stop(ctx context.Context) error {
+// Stop implements kernel.Service. Drain has closed the listeners.
+func (g *Gateway) Stop(context.Context) error { return nil }
+
+// Drain reports not ready, waits for the balancer to notice and for the running requests to end.
+func (g *Gateway) Drain(ctx context.Context) error {
 	g.stopping.Store(true)
 	select {
 	case <-time.After(g.settings.StopDelay):
--- a/internal/service/lease/cluster_test.go
+++ b/internal/service/lease/cluster_test.go
@@ -147,7 +147,7 @@
 	n.svc = lease.New(n.self, lease.DefaultSettings(), zap.NewNop(), n.registry)
 	services := []kernel.Service{n.svc, &network{sink{service.Peers, n}, c}}
 	for _, name := range []kernel.Name{
-		service.Control, service.Config, service.Membership, service.Session, service.Dispatch, service.Admission,
+		service.Control, service.Config, service.Session, service.Dispatch, service.Admission,
 	} {
 		services = append(services, &sink{name, n})
 	}
--- a/internal/service/lease/publish.go
+++ b/internal/service/lease/publish.go
@@ -85,7 +85,7 @@
 }
 
 func (s *Service) sendPeerState(t *kernel.Turn, state service.PeerState) {
-	for _, to := range []kernel.Name{service.Membership, service.Control, service.Config} {
+	for _, to := range []kernel.Name{service.Control, service.Config} {
 		t.Send(to, state)
 	}
 }
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -34,7 +34,7 @@
 	ConfigStatus() *ConfigStatus
 }
 
-// OwnershipChanged is sent by control to lease, session, routing, dispatch, membership and admission after it applied
+// OwnershipChanged is sent by control to lease, session, routing, dispatch and admission after it applied
 // records.
 type OwnershipChanged struct {
 	View *ownership.View
@@ -132,7 +132,7 @@
 	Since   time.Duration
 }
 
-// PeerState is sent by lease to membership, control and config for each heartbeat answer or request.
+// PeerState is sent by lease to control and config for each heartbeat answer or request.
 type PeerState struct {
 	Instance      entity.InstanceID
 	Zone          entity.Zone
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -27,8 +27,6 @@
 	Config kernel.Name = "config"
 	// Control replays the control stream and owns the ownership state.
 	Control kernel.Name = "control"
-	// Membership combines the platform's list, heartbeats and evidence.
-	Membership kernel.Name = "membership"
 	// Lease holds and votes on majority leases.
 	Lease kernel.Name = "lease"
 	// Admission hands out and spends rate tokens.
