Add service session

Cause: a back end serves its partitions only under a session lease and grants, and a move needs the proof that the old owner has stopped. Ruled out as well: a lost back end that stays away until its partitions move. In an outage of the platform they never do, so a back end that answers again is renewed after 2 s without a move.

--- /dev/null
+++ b/internal/service/session/settings.go
@@ -0,0 +1,83 @@
+// Package session is the service named "session". It attends to the back ends whose lease this instance holds: it renews
+// their session leases, sends their grants, finds out when they are lost, and proves that the old owner of a moving
+// partition has stopped. All its state is owned by the control goroutine.
+package session
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Settings configures the service.
+type Settings struct {
+	// SessionTTL is the length of a session lease. Default 400ms.
+	SessionTTL time.Duration
+	// RenewInterval is the time between two renewals. Default 100ms.
+	RenewInterval time.Duration
+	// CallTimeout bounds a control request to a back end. It must be below SessionTTL. Default 100ms.
+	CallTimeout time.Duration
+	// DetectAfter is the time without a successful renewal, from the failure of the first, after which a back end is lost.
+	// Default 200ms.
+	DetectAfter time.Duration
+	// ProbeMin and ProbeMax bound the backoff with which a lost back end is tried. Defaults 100ms and 1s.
+	ProbeMin time.Duration
+	ProbeMax time.Duration
+	// LostHold is how long a lost back end that answers again but whose partitions do not move, as in an outage of the
+	// platform, stays lost. Default 2s.
+	LostHold time.Duration
+}
+
+// ErrSettings means that the settings contradict each other.
+var ErrSettings = errors.New("session settings")
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		SessionTTL:    400 * time.Millisecond,
+		RenewInterval: 100 * time.Millisecond,
+		CallTimeout:   100 * time.Millisecond,
+		DetectAfter:   200 * time.Millisecond,
+		ProbeMin:      100 * time.Millisecond,
+		ProbeMax:      time.Second,
+		LostHold:      2 * time.Second,
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	for _, field := range []struct{ value, fallback *time.Duration }{
+		{&s.SessionTTL, &d.SessionTTL},
+		{&s.RenewInterval, &d.RenewInterval},
+		{&s.CallTimeout, &d.CallTimeout},
+		{&s.DetectAfter, &d.DetectAfter},
+		{&s.ProbeMin, &d.ProbeMin},
+		{&s.ProbeMax, &d.ProbeMax},
+		{&s.LostHold, &d.LostHold},
+	} {
+		if *field.value == 0 {
+			*field.value = *field.fallback
+		}
+	}
+	return s
+}
+
+func (s Settings) validate() error {
+	switch {
+	case min(s.SessionTTL, s.RenewInterval, s.CallTimeout, s.DetectAfter, s.ProbeMin, s.LostHold) < 0:
+		return errors.Wrap(ErrSettings, "a duration is negative")
+	case s.CallTimeout >= s.SessionTTL:
+		return errors.Wrap(ErrSettings, "the call timeout is not below the session TTL")
+	case 2*s.RenewInterval >= s.SessionTTL:
+		return errors.Wrap(ErrSettings, "the session TTL leaves no room for a failed renewal")
+	case s.ProbeMax < s.ProbeMin:
+		return errors.Wrap(ErrSettings, "the longest probe backoff is below the shortest")
+	}
+	return nil
+}
+
+// driftDivisor is the reciprocal of the largest drift between two monotonic clocks, 1%.
+const driftDivisor = 100
+
+// withDrift returns the time that may pass on this clock while d passes on another one.
+func withDrift(d time.Duration) time.Duration { return d + d/driftDivisor }
