Use the published leases to know the zone's delegate

Cause: LeaseChanged comes only when a lease is gained or lost, so its validity in an old view ended while the lease was still renewed.

New instances join the lowest lease group with room, because the first group holds the zone's leases and must not shrink while later ones grow.

--- a/internal/decide/ownership/roster.go
+++ b/internal/decide/ownership/roster.go
@@ -68,7 +68,8 @@
 	s.dropVotesOfEmptyZones()
 }
 
-// JoinGroup returns the lease group of a zone that a new instance joins: the smallest one that is not full, or a new one.
+// JoinGroup returns the lease group of a zone that a new instance joins: the lowest one that is not full. The first group
+// holds the zone's leases, so it must not shrink while later ones grow.
 func (v *View) JoinGroup(zone entity.Zone) GroupKey {
 	sizes := map[uint32]int{}
 	for _, m := range v.Members {
@@ -76,20 +77,9 @@
 			sizes[m.Group]++
 		}
 	}
-	best, found := uint32(0), false
-	for group, size := range sizes {
-		if size >= MaxGroupSize {
-			continue
-		}
-		if !found || size < sizes[best] || (size == sizes[best] && group < best) {
-			best, found = group, true
-		}
-	}
-	for !found {
-		if _, used := sizes[best]; !used {
-			break
-		}
-		best++
+	key := GroupKey{Zone: zone}
+	for sizes[key.Group] >= MaxGroupSize {
+		key.Group++
 	}
-	return GroupKey{Zone: zone, Group: best}
+	return key
 }
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -100,10 +100,12 @@
 // Name is the name in the registry.
 func (s *Service) Name() kernel.Name { return service.Control }
 
-// Needs lists the platform and the peers.
-func (s *Service) Needs() []kernel.Name { return []kernel.Name{service.Platform, service.Peers} }
+// Needs lists the platform, the peers and the leases. The roster is left while the leases are still renewed.
+func (s *Service) Needs() []kernel.Name {
+	return []kernel.Name{service.Platform, service.Peers, service.Lease}
+}
 
-// Provision looks up the platform and the peers.
+// Provision looks up the platform, the peers and the leases.
 func (s *Service) Provision(r *kernel.Resolver) error {
 	s.kernel = r.Kernel()
 	var err error
@@ -113,6 +115,9 @@
 	if s.list, err = kernel.Lookup[platform.InstanceList](r, service.Platform); err != nil {
 		return err
 	}
+	if s.zones.leases, err = kernel.Lookup[service.LeaseSource](r, service.Lease); err != nil {
+		return err
+	}
 	if s.states, err = kernel.Lookup[service.StateSource](r, service.Peers); err != nil {
 		return err
 	}
@@ -201,8 +206,6 @@
 		s.zones.heard(m)
 	case service.RosterReport:
 		s.roster.reports[m.Group] = m
-	case service.LeaseChanged:
-		s.zones.leases = m.View
 	case service.BackendLost:
 		s.losses.lost(m.Backend)
 	case service.BackendBack:
--- a/internal/service/control/control_test.go
+++ b/internal/service/control/control_test.go
@@ -139,8 +139,6 @@
 	config := testConfig(operator.Zone{Name: "a"}, operator.Zone{Name: "b"}, operator.Zone{Name: "c"})
 	for _, n := range []*node{a, b, d} {
 		n.tell(t, service.ConfigChanged{Config: config, Version: 1})
-		held := map[service.LeaseName]service.HeldLease{service.DelegateLease(n.self.Zone): {Term: 1, Until: 1 << 62}}
-		n.tell(t, service.LeaseChanged{View: &service.LeaseView{Held: held}})
 	}
 	c.eventually("assigned", func() bool { return owners(a.view())["c1"] > 0 && len(a.view().Members) == 3 })
 	silence(d)
--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -262,6 +262,13 @@
 	votes []service.ZoneVote
 }
 
+// Leases says that the instance is the delegate of its zone: the tests have one instance in each zone that votes.
+func (f *fakeLease) Leases() *service.LeaseView {
+	return &service.LeaseView{Held: map[service.LeaseName]service.HeldLease{
+		service.DelegateLease(f.self.Zone): {Term: 1, Until: 1 << 62},
+	}}
+}
+
 func (f *fakeLease) Name() kernel.Name { return service.Lease }
 
 func (f *fakeLease) Handle(turn *kernel.Turn, msg kernel.Message) {
--- a/internal/service/control/zones.go
+++ b/internal/service/control/zones.go
@@ -21,7 +21,7 @@
 // zone for the authority of the others: what it has not heard has no authority from it.
 type zones struct {
 	logger     *zap.Logger
-	leases     *service.LeaseView
+	leases     service.LeaseSource
 	heardAt    map[entity.Zone]time.Duration
 	knownSince map[entity.Zone]time.Duration
 	// lostAt is when this instance applied the loss of a zone.
@@ -97,7 +97,8 @@
 
 // observe updates since when this instance has been delegate and connected.
 func (z *zones) observe(s *situation) {
-	held := z.leases != nil && s.now < z.leases.Held[service.DelegateLease(s.self.Zone)].Until
+	view := z.leases.Leases()
+	held := view != nil && s.now < view.Held[service.DelegateLease(s.self.Zone)].Until
 	z.delegateSince = since(z.delegateSince, held, s.now)
 	all := memberZones(s.view)
 	connected := 1
