--- /dev/null
+++ b/cmd/pollenpier/serve.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/app"
+	"github.com/pollenpier/pollenpier/internal/settings"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// serveCommand runs one instance.
+type serveCommand struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"Settings file of the instance"`
+}
+
+// Times that bound the start and, beyond the drain timeout, the planned stop.
+const (
+	startTimeout = 15 * time.Second
+	stopMargin   = 15 * time.Second
+)
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	ctx, stop := signalContext()
+	defer stop()
+	if s.Trace {
+		end := telemetry.StartTracing(log)
+		defer func() { _ = end(context.Background()) }()
+	}
+	return serve(ctx, s, log)
+}
+
+// serve runs an instance until ctx ends and then stops it gracefully.
+func serve(ctx context.Context, s *settings.Settings, log *zap.Logger) error {
+	instance, err := app.New(s, log)
+	if err != nil {
+		return err
+	}
+	starting, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := instance.Start(starting); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopping, cancelStop := context.WithTimeout(context.Background(), s.DrainTimeout+stopMargin)
+	defer cancelStop()
+	return errors.Wrap(instance.Stop(stopping), "planned stop")
+}
--- /dev/null
+++ b/internal/e2e/site_test.go
@@ -0,0 +1,307 @@
+// Package e2e tests the built program: platform, back ends and instances as separate processes on loopback.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/configlog"
+	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/internal/standin/backend"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// binary is the built program.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "pollenpier-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "pollenpier")
+	build := exec.Command("go", "build", "-race", "-o", binary, "../../cmd/pollenpier")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const (
+	// patience bounds every wait for something that must happen. It does not decide on any bound.
+	patience = 30 * time.Second
+	// customerKey is the key of the customer in the tests.
+	customerKey = "key-of-florist-0123456789"
+)
+
+// site is a running deployment.
+type site struct {
+	t         *testing.T
+	platform  string
+	backends  map[string]*process
+	instances []*instance
+	config    *operator.Config
+	version   uint64
+}
+
+// process is a child process of the test.
+type process struct {
+	cmd     *exec.Cmd
+	address string
+	log     *lockedBuffer
+	ended   chan struct{}
+}
+
+// instance is a process that runs pollenpier serve.
+type instance struct {
+	*process
+	zone, callers, admin string
+}
+
+// lockedBuffer collects output from the goroutine that copies it.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// newSite starts a platform and the back ends, named by zone, and publishes a configuration for them.
+func newSite(t *testing.T, zones map[string][]string, checksTokens bool, extra ...string) *site {
+	t.Helper()
+	s := &site{t: t, backends: map[string]*process{}, platform: freeAddress(t)}
+	s.start(s.platform, "standin", "platform", "--listen", s.platform)
+	service := operator.Service{
+		Name: "order", Partitions: 64, MaxRun: 5 * time.Second, CutoffHold: 5 * time.Second,
+		Routes: []operator.Route{
+			{Path: "/look", Kind: operator.RouteIdempotent, Access: operator.AccessOpen},
+			{Path: "/book", Methods: []string{"POST"}, Kind: operator.RouteAtMostOnce, Access: operator.AccessOpen},
+		},
+	}
+	builder := operator.New().Customer("florist", 10000, 10000, operator.HashKey(customerKey))
+	for zone, names := range zones {
+		builder.Zone(zone)
+		for _, name := range names {
+			address := freeAddress(t)
+			args := append([]string{"standin", "backend", "--listen", address, "--slots", "4", "--queue", "64"}, extra...)
+			if checksTokens {
+				args = append(args, "--checks-tokens")
+			}
+			s.backends[name] = s.start(address, args...)
+			service.Backends = append(service.Backends, operator.Backend{
+				Name: name, Zone: zone, Address: address, Slots: 4, ChecksTokens: checksTokens,
+			})
+		}
+	}
+	config, err := builder.Service(service).Build()
+	require.NoError(t, err)
+	s.publish(config)
+	return s
+}
+
+// publish publishes a configuration on the version in force.
+func (s *site) publish(config *operator.Config) {
+	s.t.Helper()
+	client, err := platform.NewHTTPClient(platform.ClientSettings{Addresses: []string{s.platform}})
+	require.NoError(s.t, err)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	result, err := configlog.Publish(ctx, client, s.version, config, "test")
+	require.NoError(s.t, err)
+	require.True(s.t, result.Accepted, result.Reason)
+	s.config, s.version = config, result.Version
+}
+
+// addInstance starts an instance in a zone and waits until it is ready.
+func (s *site) addInstance(zone string) *instance {
+	s.t.Helper()
+	i := &instance{zone: zone, callers: freeAddress(s.t), admin: freeAddress(s.t)}
+	peer := freeAddress(s.t)
+	settings := fmt.Sprintf("zone: %s\nlisten:\n  callers: %s\n  internal: %s\n  peer: %s\n  admin: %s\n"+
+		"platform:\n  addresses: [%s]\nregister_instance: true\nlog_level: info\n",
+		zone, i.callers, freeAddress(s.t), peer, i.admin, s.platform)
+	path := filepath.Join(s.t.TempDir(), "instance.yaml")
+	require.NoError(s.t, os.WriteFile(path, []byte(settings), 0o600))
+	i.process = s.start(i.admin, "serve", "--settings", path)
+	s.instances = append(s.instances, i)
+	return i
+}
+
+// start runs the program and waits until it listens on the address.
+func (s *site) start(address string, args ...string) *process {
+	s.t.Helper()
+	p := &process{cmd: exec.Command(binary, args...), address: address, log: &lockedBuffer{}, ended: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	require.NoError(s.t, p.cmd.Start())
+	go func() {
+		defer close(p.ended)
+		_ = p.cmd.Wait()
+	}()
+	s.t.Cleanup(func() {
+		p.kill()
+		if s.t.Failed() {
+			s.t.Logf("output of %v:\n%s", args, tail(p.log.String()))
+		}
+	})
+	s.eventually(func() bool {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	}, "process %v does not listen", args)
+	return p
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// tail returns the last lines of an output.
+func tail(text string) string {
+	const most = 6000
+	return text[max(0, len(text)-most):]
+}
+
+// eventually polls a condition that must come true.
+func (s *site) eventually(condition func() bool, format string, args ...any) {
+	s.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	s.t.Fatalf(format, args...)
+}
+
+// result is what a caller saw.
+type result struct {
+	status          int
+	outcome, reason string
+	body            string
+	err             error
+}
+
+// call sends a request to an instance.
+func call(address, method, path, key string, header map[string]string) result {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return result{err: err}
+	}
+	req.Header.Set("Pollenpier-Customer-Key", customerKey)
+	req.Header.Set("Pollenpier-Key", key)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return result{
+		status: resp.StatusCode, outcome: resp.Header.Get("Pollenpier-Outcome"),
+		reason: resp.Header.Get("Pollenpier-Reason"), body: string(body), err: err,
+	}
+}
+
+// look is an idempotent request.
+func look(address, key string) result { return call(address, http.MethodGet, "/order/look", key, nil) }
+
+// book is a request that runs at most once.
+func book(address, key, idempotencyKey string) result {
+	return call(address, http.MethodPost, "/order/book", key, map[string]string{"Idempotency-Key": idempotencyKey})
+}
+
+// waitServed waits until every instance serves a spread of keys.
+func (s *site) waitServed(keys []string) {
+	s.t.Helper()
+	for _, i := range s.instances {
+		for _, key := range keys {
+			var last result
+			s.eventually(func() bool {
+				last = look(i.callers, key)
+				return last.outcome == "answered"
+			}, "key %s not served by instance in zone %s: %+v", key, i.zone, &last)
+		}
+	}
+}
+
+// executions returns what ran on a back end.
+func (s *site) executions(name string) []backend.Execution {
+	s.t.Helper()
+	resp, err := http.Get("http://" + s.backends[name].address + backend.PathExecutions)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	var list backend.Executions
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&list))
+	return list.Executions
+}
+
+// setFaults switches the faults of a back end.
+func (s *site) setFaults(name string, faults backend.Faults) {
+	s.t.Helper()
+	s.put("http://"+s.backends[name].address+backend.PathFaults, faults)
+}
+
+// put sends a JSON body that must be accepted.
+func (s *site) put(url string, body any) {
+	s.t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(s.t, err)
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	require.NoError(s.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	require.Less(s.t, resp.StatusCode, 300)
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// manyKeys returns n different keys.
+func manyKeys(n int) []string {
+	keys := make([]string, n)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("key-%d", i)
+	}
+	return keys
+}
