Make stand-in tests independent of the machine's speed

Cause: four tests of the back end stand-in used times of 20 to 200 ms that a busy machine can exceed. The session service read all partitions again at each change of any service, and idle connections to back ends stayed open for 90 s, longer than many servers keep them, so that a request could meet the server's close and have an unknown outcome. Change: longer times, overlapping requests by the latency switch instead of by chance, assignments read only when their service's view has changed, and idle connections closed after 30 s.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -20,8 +20,9 @@
 // wait behind requests.
 const controlConnections = 2
 
-// idleTimeout closes connections that no request has used.
-const idleTimeout = 90 * time.Second
+// idleTimeout closes connections that no request has used. It is below the usual 60 s to 75 s after which servers close
+// them: a request that meets the server's close has an unknown outcome.
+const idleTimeout = 30 * time.Second
 
 // ClientSettings configures an HTTPClient.
 type ClientSettings struct {
--- a/internal/service/session/attended.go
+++ b/internal/service/session/attended.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
@@ -54,6 +55,7 @@
 	corrected entity.Offset
 
 	assigned assignment
+	source   *ownership.ServiceView // of assigned
 	// granted are the grants that the back end has acknowledged in this session.
 	granted   partitionSet
 	granting  bool
--- a/internal/service/session/catalog.go
+++ b/internal/service/session/catalog.go
@@ -58,12 +58,12 @@
 }
 
 // readAssignment returns the assignment of a back end of a service. A nil view gives none.
-func readAssignment(v *ownership.View, name entity.ServiceName, id entity.BackendID) assignment {
+func readAssignment(v *ownership.ServiceView, name entity.ServiceName, id entity.BackendID) assignment {
 	a := assignment{owned: partitionSet{}, moving: partitionSet{}}
-	if v == nil || v.Services[name] == nil {
+	if v == nil {
 		return a
 	}
-	for p, owner := range v.Services[name].Owners {
+	for p, owner := range v.Owners {
 		if owner.Backend != id {
 			continue
 		}
--- a/internal/service/session/renew.go
+++ b/internal/service/session/renew.go
@@ -61,10 +61,11 @@
 // correctDown tells control of a back end that answers although the log says that it is down. The primary that reported it
 // lost may be gone.
 func (s *Service) correctDown(t *kernel.Turn, a *attended) {
-	if s.view == nil || s.view.Services[a.service] == nil {
+	view := s.serviceView(a.service)
+	if view == nil {
 		return
 	}
-	report, down := s.view.Services[a.service].Down[a.target.ID]
+	report, down := view.Down[a.target.ID]
 	if !down || a.corrected == report {
 		return
 	}
--- a/internal/service/session/service.go
+++ b/internal/service/session/service.go
@@ -198,16 +198,28 @@
 	telemetry.EventSessionDropped.Log(s.logger, zap.String("backend", string(id)), zap.Uint64("term", uint64(a.term)))
 }
 
-// refresh takes over the assignments of the log and does what they make due.
+// refresh takes over the assignments of the log and does what they make due. A service whose view is the same object has
+// not changed.
 func (s *Service) refresh(t *kernel.Turn) {
 	for _, id := range s.sortedAttended() {
 		a := s.attended[id]
-		a.assigned = readAssignment(s.view, a.service, id)
-		s.updateReleases(t, a)
+		if source := s.serviceView(a.service); source != a.source {
+			a.source = source
+			a.assigned = readAssignment(source, a.service, id)
+			s.updateReleases(t, a)
+		}
 		s.advance(t, a)
 	}
 }
 
+// serviceView returns the assignment of a service, nil if there is none yet.
+func (s *Service) serviceView(name entity.ServiceName) *ownership.ServiceView {
+	if s.view == nil {
+		return nil
+	}
+	return s.view.Services[name]
+}
+
 func (s *Service) sortedAttended() []entity.BackendID {
 	ids := make([]entity.BackendID, 0, len(s.attended))
 	for id := range s.attended {
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -104,9 +104,10 @@
 // Guards against a delayed renewal that revives a lapsed session, and against grants that outlive it.
 func TestSessionEndsByItsStamp(t *testing.T) {
 	b := start(t, standin.Options{ChecksTokens: true})
-	status := b.open(3, 20*time.Millisecond)
-	time.Sleep(40 * time.Millisecond)
-	late, err := b.renew(3, 20*time.Millisecond, status)
+	const ttl = time.Second // longer than the exchange that opens the session takes on a busy machine
+	status := b.open(3, ttl)
+	time.Sleep(ttl + 50*time.Millisecond)
+	late, err := b.renew(3, ttl, status)
 	require.NoError(t, err)
 	require.Equal(t, status.Lapses+1, late.Lapses)
 	require.Equal(t, backend.FailureFenced, b.do(context.Background(), newCall("r", 3, 42)))
@@ -118,7 +119,7 @@
 // Guards against running work that goes on for another owner after the lapse.
 func TestLapseEndsRunningWork(t *testing.T) {
 	b := start(t, standin.Options{ChecksTokens: true, Work: time.Minute})
-	b.open(3, 200*time.Millisecond)
+	b.open(3, 2*time.Second)
 	answer, err := b.client.Do(context.Background(), b.target, newCall("r", 3, 42))
 	require.NoError(t, err)
 	require.NoError(t, answer.Body.Close())
@@ -176,8 +177,9 @@
 // Guards against a cold start that bears any load, which would hide a missing ramp.
 func TestColdBackendCollapses(t *testing.T) {
 	b := start(t, standin.Options{
-		Slots: 4, WarmAfter: 2, ColdLimit: 1, ColdWork: 50 * time.Millisecond, CollapseWork: 10 * time.Millisecond,
+		Slots: 4, WarmAfter: 2, ColdLimit: 1, ColdWork: 10 * time.Millisecond, CollapseWork: 10 * time.Millisecond,
 	})
+	b.server.SetFaults(standin.Faults{LatencyMs: 1500}) // so that the two requests overlap
 	statuses := make(chan int, 2)
 	send := func() {
 		answer, err := b.client.Do(context.Background(), b.target, newCall("r", 1, 1))
@@ -191,6 +193,8 @@
 	go send()
 	b.awaitTotal(1)
 	go send()
+	b.awaitTotal(2)
+	b.server.SetFaults(standin.Faults{})
 	require.Equal(t, []int{500, 500}, []int{<-statuses, <-statuses})
 	for range 2 {
 		send()
@@ -239,7 +243,7 @@
 	require.ErrorIs(t, err, backend.ErrUnreachable)
 
 	b.server.SetFaults(standin.Faults{Freeze: true})
-	short, cancel := context.WithTimeout(ctx, 30*time.Millisecond)
+	short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer cancel()
 	require.Equal(t, backend.FailureBroken, b.do(short, newCall("r6", 1, 1)))
 	b.server.SetFaults(standin.Faults{})
