--- a/cmd/pollenpier/serve.go
+++ b/cmd/pollenpier/serve.go
@@ -57,5 +57,8 @@
 	<-ctx.Done()
 	stopping, cancelStop := context.WithTimeout(context.Background(), s.DrainTimeout+stopMargin)
 	defer cancelStop()
-	return errors.Wrap(instance.Stop(stopping), "planned stop")
+	if err := instance.Stop(stopping); err != nil {
+		return errors.Wrap(err, "planned stop")
+	}
+	return nil
 }
--- a/cmd/pollenpier/status.go
+++ b/cmd/pollenpier/status.go
@@ -37,6 +37,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("instance answered %s", resp.Status)
 	}
-	_, err = io.Copy(os.Stdout, resp.Body)
-	return errors.Wrap(err, "read status")
+	if _, err = io.Copy(os.Stdout, resp.Body); err != nil {
+		return errors.Wrap(err, "read status")
+	}
+	return nil
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -123,7 +123,10 @@
 func newPeerSocket(s *settings.Settings) (net.Listener, error) {
 	var config net.ListenConfig
 	socket, err := config.Listen(context.Background(), "tcp", s.Listen.Peer)
-	return socket, errors.Wrap(err, "listen for peers")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return socket, nil
 }
 
 // newSelf gives the process its identity. The id is random, so that a replaced process at the same address is a new
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -96,7 +96,7 @@
 func newRouting(r metrics.Registry) *routing.Service { return routing.New(r) }
 
 func newDispatch(self service.Self, log *zap.Logger, r metrics.Registry) *dispatch.Service {
-	return dispatch.New(self, dispatch.Settings{}, log, r)
+	return dispatch.New(self, dispatch.DefaultSettings(), log, r)
 }
 
 func newGateway(self service.Self, s *settings.Settings, log *zap.Logger, r metrics.Registry) *gateway.Gateway {
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -49,7 +49,9 @@
 		return nil, errors.Wrapf(err, "log level %q", level)
 	}
 	config.Level = parsed
-	config.Sampling = nil // every event counts, the hot path logs at debug only
+	config.Sampling = nil           // every event counts, the hot path logs at debug only
+	config.DisableStacktrace = true // event numbers name the place
+	config.DisableCaller = true
 	log, err := config.Build()
 	if err != nil {
 		return nil, errors.Wrap(err, "build logger")
