Reduce the share of stragglers and move hot keys

Cause: only the primary of a back end knows its latency and its hottest keys, but the coordinator of the service balances the partitions. Without a shared fact the two would move partitions back and forth.

Change: the share that a straggler keeps is part of the Move record and of the view, and the coordinator's placement uses it.

Ruled out: load reports in the log, which would grow with time.

--- a/internal/decide/ownership/chunk.go
+++ b/internal/decide/ownership/chunk.go
@@ -80,6 +80,7 @@
 	Owners []Owner
 	Hot    []HotMark
 	Down   []DownMark
+	Slow   []SlowMark
 }
 
 // Chunk is a bounded part of a checkpoint.
@@ -216,6 +217,10 @@
 		dst := part(markBytes + len(id))
 		dst.Down = append(dst.Down, DownMark{Backend: id, At: v.Down[id]})
 	}
+	for _, id := range slices.Sorted(maps.Keys(v.Slow)) {
+		dst := part(markBytes + len(id))
+		dst.Slow = append(dst.Slow, SlowMark{Backend: id, Keep: v.Slow[id]})
+	}
 }
 
 // servicePart returns the service's part in a chunk and starts it if there is none.
--- a/internal/decide/ownership/partitions.go
+++ b/internal/decide/ownership/partitions.go
@@ -25,6 +25,7 @@
 			Hot:     maps.Clone(s.view.Hot),
 			Owners:  slices.Clone(s.view.Owners),
 			Down:    maps.Clone(s.view.Down),
+			Slow:    maps.Clone(s.view.Slow),
 			Version: s.view.Version,
 		}
 		s.published = false
@@ -38,6 +39,7 @@
 		Hot:    map[entity.KeyHash]entity.Partition{},
 		Owners: make([]Owner, count),
 		Down:   map[entity.BackendID]entity.Offset{},
+		Slow:   map[entity.BackendID]uint32{},
 	}
 }
 
@@ -74,13 +76,22 @@
 	for _, id := range r.Up {
 		delete(view.Down, id)
 	}
+	for _, mark := range r.Slow {
+		view.Slow[mark.Backend] = mark.Keep
+		if mark.Keep == WholeShare {
+			delete(view.Slow, mark.Backend)
+		}
+	}
 	view.Version = entity.Epoch(offset)
 	return applied()
 }
 
 // acceptsMove checks a move against the assignment: each partition exists, occurs once and really changes.
 func (v *ServiceView) acceptsMove(r Move) bool {
-	if len(r.Steps)+len(r.Down)+len(r.Up) == 0 || len(v.Down)+len(r.Down) > MaxDown {
+	if len(r.Steps)+len(r.Down)+len(r.Up)+len(r.Slow) == 0 {
+		return false
+	}
+	if len(v.Down)+len(r.Down) > MaxDown || len(v.Slow)+len(r.Slow) > MaxDown {
 		return false
 	}
 	virtual := v.virtualInUse()
--- a/internal/decide/ownership/record.go
+++ b/internal/decide/ownership/record.go
@@ -10,7 +10,9 @@
 	MaxHotKeys = 1024
 	// MaxPartitions is the largest number of base partitions per service.
 	MaxPartitions = 1 << 20
-	// MaxDown is the largest number of back ends of one service that can be recorded as down.
+	// WholeShare is the part of its share that a back end keeps unless it is a straggler, in thousandths.
+	WholeShare = 1000
+	// MaxDown is the largest number of back ends of one service that can be recorded as down, and of stragglers.
 	MaxDown = 16384
 	// ShareTotal is the sum of a customer's zone shares.
 	ShareTotal = 1000
@@ -71,6 +73,14 @@
 	// Down are back ends found lost, and Up are back ends that answer again.
 	Down []entity.BackendID
 	Up   []entity.BackendID
+	// Slow are back ends whose share changes because they are stragglers or no longer are.
+	Slow []SlowMark
+}
+
+// SlowMark is the part of its share that a straggler keeps, in thousandths. 1000 ends the reduction.
+type SlowMark struct {
+	Backend entity.BackendID
+	Keep    uint32
 }
 
 // ReleaseStep names the assignment that has ended.
--- a/internal/decide/ownership/restore.go
+++ b/internal/decide/ownership/restore.go
@@ -129,6 +129,9 @@
 	for _, down := range part.Down {
 		view.Down[down.Backend] = down.At
 	}
+	for _, slow := range part.Slow {
+		view.Slow[slow.Backend] = slow.Keep
+	}
 	return nil
 }
 
--- a/internal/decide/ownership/view.go
+++ b/internal/decide/ownership/view.go
@@ -27,6 +27,8 @@
 	Owners []Owner
 	// Down maps back ends that were reported lost to the offset of the report. They get no partitions until they are up.
 	Down map[entity.BackendID]entity.Offset
+	// Slow maps stragglers to the part of their share that they keep, in thousandths.
+	Slow map[entity.BackendID]uint32
 	// Version is the offset of the last record that changed the service's assignment.
 	Version entity.Epoch
 }
--- a/internal/records/chunk.go
+++ b/internal/records/chunk.go
@@ -52,6 +52,7 @@
 	for _, down := range part.Down {
 		m.Down = append(m.Down, &pb.DownMark{Backend: string(down.Backend), At: uint64(down.At)})
 	}
+	m.Slow = slowToPB(part.Slow)
 	return m
 }
 
@@ -115,5 +116,6 @@
 		id := name[entity.BackendID](d, "back end", down.GetBackend())
 		part.Down = append(part.Down, ownership.DownMark{Backend: id, At: entity.Offset(down.GetAt())})
 	}
+	part.Slow = d.slow(m.GetSlow())
 	return part
 }
--- a/internal/records/decode.go
+++ b/internal/records/decode.go
@@ -177,9 +177,10 @@
 		Count:   m.GetCount(),
 		Down:    names[entity.BackendID](d, "back end", m.GetDown()),
 		Up:      names[entity.BackendID](d, "back end", m.GetUp()),
+		Slow:    d.slow(m.GetSlow()),
 	}
 	d.check(ownership.ValidCount(r.Count), "%d partitions", r.Count)
-	d.check(len(m.GetSteps())+len(r.Down)+len(r.Up) > 0, "empty move")
+	d.check(len(m.GetSteps())+len(r.Down)+len(r.Up)+len(r.Slow) > 0, "empty move")
 	for _, s := range m.GetSteps() {
 		d.check(uint64(s.GetPartition()) < uint64(r.Count)+ownership.MaxHotKeys, "partition %d", s.GetPartition())
 		r.Steps = append(r.Steps, ownership.MoveStep{
@@ -189,6 +190,13 @@
 	return r
 }
 
+func (d *decoder) slow(list []*pb.SlowMark) []ownership.SlowMark {
+	return each(list, func(m *pb.SlowMark) ownership.SlowMark {
+		d.check(m.GetKeep() > 0 && m.GetKeep() <= ownership.WholeShare, "straggler keeps %d thousandths", m.GetKeep())
+		return ownership.SlowMark{Backend: name[entity.BackendID](d, "back end", m.GetBackend()), Keep: m.GetKeep()}
+	})
+}
+
 func (d *decoder) release(m *pb.Release) ownership.Record {
 	r := ownership.Release{Service: name[entity.ServiceName](d, "service", m.GetService())}
 	d.check(len(m.GetSteps()) > 0, "empty release")
--- a/internal/records/encode.go
+++ b/internal/records/encode.go
@@ -114,6 +114,7 @@
 func moveToPB(r ownership.Move) *pb.Move {
 	move := &pb.Move{
 		Service: string(r.Service), Version: uint64(r.Version), Count: r.Count, Down: texts(r.Down), Up: texts(r.Up),
+		Slow: slowToPB(r.Slow),
 	}
 	for _, s := range r.Steps {
 		move.Steps = append(move.Steps, &pb.MoveStep{Partition: uint32(s.Partition), To: string(s.To)})
@@ -121,6 +122,14 @@
 	return move
 }
 
+func slowToPB(marks []ownership.SlowMark) []*pb.SlowMark {
+	list := make([]*pb.SlowMark, 0, len(marks))
+	for _, mark := range marks {
+		list = append(list, &pb.SlowMark{Backend: string(mark.Backend), Keep: mark.Keep})
+	}
+	return list
+}
+
 func texts[T ~string](ids []T) []string {
 	list := make([]string, 0, len(ids))
 	for _, id := range ids {
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -20,7 +20,8 @@
 		ownership.Leave{Group: group, Version: 4, Instance: "i1"},
 		ownership.ForcedLeave{Group: group, Version: 5, Instances: []entity.InstanceID{"i1", "i2"}},
 		ownership.Move{Service: "s", Version: 6, Count: 4, Steps: []ownership.MoveStep{{Partition: 3, To: "b1"}},
-			Down: []entity.BackendID{"b2"}, Up: []entity.BackendID{"b3"}},
+			Down: []entity.BackendID{"b2"}, Up: []entity.BackendID{"b3"},
+			Slow: []ownership.SlowMark{{Backend: "b4", Keep: 500}}},
 		ownership.Release{Service: "s", Steps: []ownership.ReleaseStep{{Partition: 3, Epoch: 6}}},
 		ownership.HotKeys{Service: "s", Version: 7, Add: []entity.KeyHash{1 << 63}, Remove: []entity.KeyHash{5}},
 		ownership.RemoveService{Service: "s", Version: 8},
@@ -41,7 +42,8 @@
 			Services: []ownership.ServicePart{{Name: "s", Count: 4, Version: 8, Total: 5, First: 1,
 				Owners: []ownership.Owner{{Backend: "b1", Epoch: 9, To: "b2"}, {}},
 				Hot:    []ownership.HotMark{{Hash: 10, Partition: 4}},
-				Down:   []ownership.DownMark{{Backend: "b3", At: 11}}}},
+				Down:   []ownership.DownMark{{Backend: "b3", At: 11}},
+				Slow:   []ownership.SlowMark{{Backend: "b4", Keep: 250}}}},
 		}},
 	}
 }
@@ -65,6 +67,7 @@
 		ownership.Join{Member: ownership.Member{ID: long, Zone: "a"}},
 		ownership.Move{Service: "s", Count: 3, Steps: []ownership.MoveStep{{Partition: 1, To: "b"}}},
 		ownership.Move{Service: "s", Count: 4},
+		ownership.Move{Service: "s", Count: 4, Slow: []ownership.SlowMark{{Backend: "b", Keep: 0}}},
 		ownership.Move{Service: "s", Count: 4, Steps: []ownership.MoveStep{{Partition: 4 + 1024, To: "b"}}},
 		ownership.Move{Service: "s", Count: 4, Steps: []ownership.MoveStep{{Partition: 1}}},
 		ownership.Release{Service: "s", Steps: []ownership.ReleaseStep{{Partition: 1}}},
--- a/internal/service/control/assign.go
+++ b/internal/service/control/assign.go
@@ -10,7 +10,6 @@
 	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/decide/placement"
 	"github.com/pollenpier/pollenpier/internal/entity"
-	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/telemetry"
 	"github.com/pollenpier/pollenpier/operator"
 )
@@ -27,7 +26,6 @@
 	services   map[entity.ServiceName]*assignState
 	zones      entity.Offset
 	members    int
-	loads      loads
 }
 
 type assignState struct {
@@ -41,13 +39,11 @@
 }
 
 func newAssigner(logger *zap.Logger) *assigner {
-	return &assigner{logger: logger, services: map[entity.ServiceName]*assignState{}, loads: newLoads()}
+	return &assigner{logger: logger, services: map[entity.ServiceName]*assignState{}}
 }
 
 func (a *assigner) changed() { a.generation++ }
 
-func (a *assigner) measured(now time.Duration, m service.BackendLatency) { a.loads.add(now, m) }
-
 func (a *assigner) next(s *situation) ownership.Record {
 	if !s.config.known {
 		return nil
@@ -133,7 +129,7 @@
 
 func (a *assigner) move(s *situation, name entity.ServiceName, view *ownership.ServiceView) ownership.Record {
 	move := ownership.Move{Service: name, Version: view.Version, Count: view.Count}
-	for _, m := range placement.Propose(placementInput(s, name, view, &a.loads), placement.DefaultSettings()) {
+	for _, m := range placement.Propose(placementInput(s, name, view), placement.DefaultSettings()) {
 		move.Steps = append(move.Steps, ownership.MoveStep{Partition: m.Partition, To: m.To})
 	}
 	move.Steps = fitting(move.Steps)
@@ -143,7 +139,12 @@
 		}
 	}
 	slices.Sort(move.Up)
-	if len(move.Steps)+len(move.Up) == 0 {
+	for id := range view.Slow {
+		if b, ok := s.config.backends[id]; !ok || b.service != name {
+			move.Slow = append(move.Slow, ownership.SlowMark{Backend: id, Keep: ownership.WholeShare})
+		}
+	}
+	if len(move.Steps)+len(move.Up)+len(move.Slow) == 0 {
 		return nil
 	}
 	return move
@@ -182,10 +183,8 @@
 	return true
 }
 
-// placementInput describes a service to the placement. Loads may be nil.
-func placementInput(
-	s *situation, name entity.ServiceName, view *ownership.ServiceView, measured *loads,
-) placement.Input {
+// placementInput describes a service to the placement, without loads: each instance knows only those of its own back ends.
+func placementInput(s *situation, name entity.ServiceName, view *ownership.ServiceView) placement.Input {
 	input := placement.Input{Owners: view.Owners, Count: view.Count}
 	svc, ok := s.config.services[name]
 	if !ok {
@@ -197,14 +196,11 @@
 			ID: entity.BackendID(b.Name), Zone: entity.Zone(b.Zone), Slots: b.Slots, Rate: -1,
 			State: backendState(s, view, b, members),
 		}
-		if measured != nil {
-			measured.apply(s.now, &backend)
+		if keep, slow := view.Slow[backend.ID]; slow {
+			backend.Factor = float64(keep) / ownership.WholeShare
 		}
 		input.Backends = append(input.Backends, backend)
 	}
-	if measured != nil {
-		input.VirtualRate = measured.virtual(s.now, name, view)
-	}
 	return input
 }
 
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -49,6 +49,7 @@
 	releases    *releases
 	assigner    *assigner
 	losses      *losses
+	heat        *heat
 	shares      *shares
 	checkpoints *checkpoints
 	deciders    []decider
@@ -90,10 +91,11 @@
 	s.releases = newReleases(settings, logger)
 	s.assigner = newAssigner(logger)
 	s.losses = newLosses(logger)
+	s.heat = newHeat()
 	s.shares = newShares()
 	s.checkpoints = &checkpoints{every: settings.CheckpointEvery, state: func() []ownership.Chunk { return s.state.Chunks() }}
 	// Earlier deciders go first: what restores service goes before what saves work.
-	s.deciders = []decider{s.losses, s.releases, s.roster, s.zones, s.assigner, s.shares, s.checkpoints}
+	s.deciders = []decider{s.losses, s.releases, s.roster, s.zones, s.assigner, s.heat, s.shares, s.checkpoints}
 	return s
 }
 
@@ -213,7 +215,7 @@
 	case service.ReleaseReady:
 		s.releases.proven(m)
 	case service.BackendLatency:
-		s.assigner.measured(turn.Now(), m)
+		s.heat.measured(turn.Now(), m)
 	}
 }
 
--- a/internal/service/control/control_test.go
+++ b/internal/service/control/control_test.go
@@ -189,3 +189,52 @@
 	a.tell(t, service.ConfigChanged{Config: &operator.Config{Zones: config.Zones}, Version: 3})
 	c.eventually("service forgotten", func() bool { return len(a.view().Services) == 0 })
 }
+
+// Guards against a straggler that keeps its whole share, and against a hot key that stays with an overloaded owner.
+func TestStragglerGivesPartitionsAndHotKeyMoves(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", control.Settings{})
+	config := testConfig(operator.Zone{Name: "a"})
+	for _, name := range []string{"a3", "a4"} {
+		b := config.Services[0].Backends[0]
+		b.Name = name
+		config.Services[0].Backends = append(config.Services[0].Backends, b)
+	}
+	config.Services[0].Partitions = 64
+	a.tell(t, service.ConfigChanged{Config: config, Version: 1})
+	c.eventually("assigned", func() bool { return owners(a.view())["a4"] == 16 })
+	hot := entity.HashKey("hot")
+	report := func(slow bool) {
+		svc := a.view().Services["stock"]
+		for _, id := range []entity.BackendID{"a1", "a2", "a3", "a4"} {
+			m := service.BackendLatency{Backend: id, Median: 10 * time.Millisecond, Requests: 10}
+			if slow && id == "a1" {
+				m.Median = 50 * time.Millisecond
+			}
+			if svc.Owners[svc.Locate(hot)].Backend == id {
+				m.Requests = 210
+				m.Hot = []service.HotKey{{Service: "stock", Hash: hot, Requests: 200}}
+			}
+			a.kernel.Post(service.Control, m)
+		}
+		time.Sleep(50 * time.Millisecond) // half a second of the cluster's clock
+	}
+	c.eventually("hot key named", func() bool {
+		report(false)
+		_, named := a.view().Services["stock"].Hot[hot]
+		return named
+	})
+	c.eventually("straggler reduced", func() bool {
+		report(true)
+		return a.view().Services["stock"].Slow["a1"] > 0
+	})
+	c.eventually("straggler gives partitions", func() bool {
+		for _, o := range a.view().Services["stock"].Owners {
+			if o.Backend == "a1" && o.Moving() {
+				return true
+			}
+		}
+		return false
+	})
+	require.Len(t, a.view().Services["stock"].Slow, 1)
+}
--- a/internal/service/control/loads.go
+++ b/internal/service/control/loads.go
@@ -4,8 +4,6 @@
 	"maps"
 	"time"
 
-	"github.com/pollenpier/pollenpier/internal/decide/ownership"
-	"github.com/pollenpier/pollenpier/internal/decide/placement"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
@@ -20,8 +18,9 @@
 }
 
 type loadReport struct {
-	at   time.Duration
-	rate float64
+	at     time.Duration
+	rate   float64 // requests per second
+	median time.Duration
 }
 
 type hotKey struct {
@@ -31,7 +30,7 @@
 
 type hotLoad struct {
 	at   time.Duration
-	rate float64
+	rate float64 // requests per second
 }
 
 func newLoads() loads {
@@ -45,30 +44,29 @@
 	if !known || interval <= 0 || interval > loadFor {
 		interval = time.Second
 	}
-	l.reports[m.Backend] = loadReport{at: now, rate: float64(m.Requests) / interval.Seconds()}
+	l.reports[m.Backend] = loadReport{at: now, rate: float64(m.Requests) / interval.Seconds(), median: m.Median}
 	for _, h := range m.Hot {
 		l.hot[hotKey{h.Service, h.Hash}] = hotLoad{at: now, rate: float64(h.Requests) / interval.Seconds()}
 	}
-	maps.DeleteFunc(l.reports, func(_ entity.BackendID, r loadReport) bool { return now-r.at > loadFor })
-	maps.DeleteFunc(l.hot, func(_ hotKey, h hotLoad) bool { return now-h.at > loadFor })
 }
 
-// apply sets the measured load of a back end, if there is a recent report.
-func (l *loads) apply(now time.Duration, b *placement.Backend) {
-	if r, ok := l.reports[b.ID]; ok && now-r.at <= loadFor {
-		b.Rate = r.rate
-	}
+// forget drops what is too old to count.
+func (l *loads) forget(now time.Duration) {
+	maps.DeleteFunc(l.reports, func(_ entity.BackendID, r loadReport) bool { return now-r.at > loadFor })
+	maps.DeleteFunc(l.hot, func(_ hotKey, h hotLoad) bool { return now-h.at > loadFor })
 }
 
-// virtual returns the measured load of the virtual partitions of a service.
-func (l *loads) virtual(
-	now time.Duration, name entity.ServiceName, view *ownership.ServiceView,
-) map[entity.Partition]float64 {
-	rates := make(map[entity.Partition]float64, len(view.Hot))
-	for hash, partition := range view.Hot {
-		if h, ok := l.hot[hotKey{name, hash}]; ok && now-h.at <= loadFor {
-			rates[partition] = h.rate
+// meanRate returns the mean load per slot of the reported back ends of a service, zero if there is none.
+func (l *loads) meanRate(s *situation, name entity.ServiceName) float64 {
+	rate, slots := 0.0, 0
+	for _, b := range s.config.services[name].Backends {
+		if r, ok := l.reports[entity.BackendID(b.Name)]; ok {
+			rate += r.rate
+			slots += b.Slots
 		}
 	}
-	return rates
+	if slots == 0 {
+		return 0
+	}
+	return rate / float64(slots)
 }
--- a/internal/service/control/losses.go
+++ b/internal/service/control/losses.go
@@ -65,7 +65,7 @@
 		return move
 	}
 	move.Down = []entity.BackendID{id}
-	input := placementInput(s, name, view, nil)
+	input := placementInput(s, name, view)
 	for i := range input.Backends {
 		if input.Backends[i].ID == id {
 			input.Backends[i].State = placement.Lost
