Hold back releases of changed hot keys and spare zones that restart

Cause: a request that began before its key became hot runs under the base partition, so the end of work for the new partition does not prove that it ended. A zone without members lost its partitions at once, which would move everything when all instances restart together.

Change: for max_run after a change of hot keys, only a lapse releases the partitions concerned. Zones without members keep their partitions for 10 s. A read that brings nothing is repeated after at least 20 ms, for a platform that does not wait. The age of relayed reads is stretched by the clocks' drift.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -28,6 +28,8 @@
 	Leaving
 	// Lost back ends do not serve. Their partitions are given away at once.
 	Lost
+	// Frozen back ends neither take nor give partitions: it is not known yet whether they serve.
+	Frozen
 )
 
 // Backend is a back end of the service.
--- a/internal/service/control/assign.go
+++ b/internal/service/control/assign.go
@@ -211,7 +211,12 @@
 	_, zoneLost := s.view.LostZones[zone]
 	_, down := view.Down[entity.BackendID(b.Name)]
 	switch {
-	case zoneLost, down, !members[zone], s.config.zones[zone] == operator.ZoneLost:
+	case zoneLost, down, s.config.zones[zone] == operator.ZoneLost:
+		return placement.Lost
+	case !members[zone]:
+		if s.zones.emptyFor(s, zone) < emptyZoneGrace {
+			return placement.Frozen
+		}
 		return placement.Lost
 	case b.State == operator.BackendDrain, s.config.zones[zone] == operator.ZoneOut:
 		return placement.Leaving
--- a/internal/service/control/checkpoint.go
+++ b/internal/service/control/checkpoint.go
@@ -17,6 +17,9 @@
 	state   func() []ownership.Chunk
 }
 
+// maxUnfinished bounds the writers that began a checkpoint and did not finish it.
+const maxUnfinished = 64
+
 type chunkProgress struct {
 	at   entity.Offset
 	next uint32
@@ -24,7 +27,7 @@
 
 // seen follows the chunks in the log. Each writer appends its chunks in order.
 func (c *checkpoints) seen(writer entity.InstanceID, chunk ownership.Chunk) {
-	if c.expected == nil {
+	if c.expected == nil || len(c.expected) > maxUnfinished {
 		c.expected = map[entity.InstanceID]chunkProgress{}
 	}
 	progress := c.expected[writer]
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -67,6 +67,7 @@
 	config *configIndex // never nil; empty before the first configuration
 	self   service.Self
 	ranks  *ranks
+	zones  *zones
 	turn   *kernel.Turn
 }
 
@@ -230,7 +231,7 @@
 
 func (s *Service) situation(turn *kernel.Turn) *situation {
 	return &situation{
-		now: turn.Now(), view: s.view, config: s.config, self: s.self, ranks: &s.ranks, turn: turn,
+		now: turn.Now(), view: s.view, config: s.config, self: s.self, ranks: &s.ranks, zones: s.zones, turn: turn,
 	}
 }
 
@@ -256,7 +257,7 @@
 	s.ranks.update(s.view, s.self.ID)
 	s.roster.applied(turn.Now(), s.view)
 	s.zones.applied(turn.Now(), s.view)
-	s.releases.applied(turn.Now(), s.view)
+	s.releases.applied(turn.Now(), s.view, s.config)
 	for _, name := range listeners {
 		turn.Send(name, service.OwnershipChanged{View: s.view})
 	}
--- a/internal/service/control/control_test.go
+++ b/internal/service/control/control_test.go
@@ -238,3 +238,62 @@
 	})
 	require.Len(t, a.view().Services["stock"].Slow, 1)
 }
+
+// readyFor is the proof, by acknowledgement, that a back end has stopped work for its moving partitions.
+func readyFor(v *ownership.View, id entity.BackendID) service.ReleaseReady {
+	ready := service.ReleaseReady{Backend: id}
+	for p, o := range v.Services["stock"].Owners {
+		if o.Backend == id && o.Moving() {
+			ready.Partitions = append(ready.Partitions,
+				service.PartitionEpoch{Service: "stock", Partition: entity.Partition(p), Epoch: o.Epoch})
+		}
+	}
+	return ready
+}
+
+// Guards against a second owner of a key that became hot while a request for it ran under its base partition: the end of
+// work for the new partition says nothing about that request.
+func TestNewHotKeyIsNotReleasedBeforeOldRequestsEnd(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", control.Settings{})
+	config := testConfig(operator.Zone{Name: "a"})
+	a.tell(t, service.ConfigChanged{Config: config, Version: 1})
+	c.eventually("assigned", func() bool { return owners(a.view())["a1"] == 8 })
+	hot := entity.HashKey("hot")
+	owner := a.view().Services["stock"].Owners[a.view().Services["stock"].Locate(hot)].Backend
+	for a.view().Services["stock"].Hot[hot] == 0 {
+		a.kernel.Post(service.Control, service.BackendLatency{Backend: owner, Requests: 100,
+			Hot: []service.HotKey{{Service: "stock", Hash: hot, Requests: 100}}})
+		time.Sleep(20 * time.Millisecond)
+	}
+	named := c.clock.Now()
+	drained := testConfig(operator.Zone{Name: "a"})
+	for i := range drained.Services[0].Backends {
+		if drained.Services[0].Backends[i].Name == string(owner) {
+			drained.Services[0].Backends[i].State = operator.BackendDrain
+		}
+	}
+	a.tell(t, service.ConfigChanged{Config: drained, Version: 2})
+	virtual := a.view().Services["stock"].Hot[hot]
+	c.eventually("hot key released", func() bool {
+		a.tell(t, readyFor(a.view(), owner))
+		return a.view().Services["stock"].Owners[virtual].Backend != owner
+	})
+	require.GreaterOrEqual(t, c.clock.Now()-named, 900*time.Millisecond, "max_run is 1s")
+}
+
+// Guards against partitions of a back end that was removed from the configuration: nobody attends to it, so no proof comes.
+func TestRemovedBackendIsReleasedAfterTheWait(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", control.Settings{})
+	config := testConfig(operator.Zone{Name: "a"})
+	a.tell(t, service.ConfigChanged{Config: config, Version: 1})
+	c.eventually("assigned", func() bool { return owners(a.view())["a1"] == 8 })
+	removed := testConfig(operator.Zone{Name: "a"})
+	removed.Services[0].Backends = removed.Services[0].Backends[1:]
+	start := c.clock.Now()
+	a.tell(t, service.ConfigChanged{Config: removed, Version: 2})
+	c.eventually("moved", func() bool { return owners(a.view())["a2"] == 16 })
+	// cutoff_hold 2s, lease 400ms, session 400ms, max_run 1s.
+	require.GreaterOrEqual(t, c.clock.Now()-start, 3800*time.Millisecond)
+}
--- a/internal/service/control/peers.go
+++ b/internal/service/control/peers.go
@@ -55,8 +55,9 @@
 	s.counters.relays.Inc(1)
 	s.replay(turn, m.batch.Records)
 	if m.batch.Age >= 0 {
-		// The peer's tail was seen this long before the answer, so at least this long before the call.
-		s.reachedTail(turn, m.started-m.batch.Age, m.batch.Batch)
+		// The peer's tail was seen this long before the answer, so the call began at most this long after it. The peer's
+		// clock may be 1 % slower and the own one 1 % faster, and one more percent covers the rounding of the wire.
+		s.reachedTail(turn, m.started-m.batch.Age-m.batch.Age*3/100, m.batch.Batch)
 	}
 }
 
--- a/internal/service/control/reader.go
+++ b/internal/service/control/reader.go
@@ -73,7 +73,7 @@
 
 func (s *Service) finishRead(turn *kernel.Turn, m readDone) {
 	switch {
-	case errors.Is(m.err, platform.ErrTruncated):
+	case errors.Is(m.err, platform.ErrTruncated) && m.batch.First > m.from:
 		s.gap(m.batch.First)
 	case m.err != nil:
 		s.readFailed(m.err)
@@ -87,6 +87,10 @@
 		s.replay(turn, m.batch.Records)
 		s.reachedTail(turn, m.started, m.batch)
 	}
+	if len(m.batch.Records) == 0 && turn.Now()-m.started < readPause {
+		turn.After(readPause, readAgain{})
+		return
+	}
 	s.startRead(turn)
 }
 
--- a/internal/service/control/releases.go
+++ b/internal/service/control/releases.go
@@ -21,8 +21,10 @@
 type releases struct {
 	settings Settings
 	logger   *zap.Logger
-	// ready are the assignments that provably ended.
+	// ready are the assignments that provably ended, and whether the proof is a lapse.
 	ready map[entity.ServiceName]map[ownership.ReleaseStep]bool
+	// guards hold back releases that are proven without a lapse, after a change of hot keys.
+	guards map[entity.ServiceName]map[entity.Partition]time.Duration
 	// moving are the partitions that move, by service, and the view that they were taken from.
 	moving map[entity.ServiceName]movingPartitions
 	lostAt map[entity.Zone]time.Duration
@@ -46,6 +48,7 @@
 		settings: settings,
 		logger:   logger,
 		ready:    map[entity.ServiceName]map[ownership.ReleaseStep]bool{},
+		guards:   map[entity.ServiceName]map[entity.Partition]time.Duration{},
 		moving:   map[entity.ServiceName]movingPartitions{},
 		lostAt:   map[entity.Zone]time.Duration{},
 	}
@@ -56,14 +59,16 @@
 		if r.ready[p.Service] == nil {
 			r.ready[p.Service] = map[ownership.ReleaseStep]bool{}
 		}
-		r.ready[p.Service][ownership.ReleaseStep{Partition: p.Partition, Epoch: p.Epoch}] = true
+		r.ready[p.Service][ownership.ReleaseStep{Partition: p.Partition, Epoch: p.Epoch}] = m.Lapsed
 	}
 }
 
 // applied collects the moving partitions of services that changed.
-func (r *releases) applied(now time.Duration, v *ownership.View) {
+func (r *releases) applied(now time.Duration, v *ownership.View, config *configIndex) {
 	for name, view := range v.Services {
 		if r.moving[name].view != view {
+			_, maxRun := config.holds(name)
+			r.guard(name, r.moving[name].view, view, now+withDrift(maxRun))
 			r.moving[name] = movingPartitions{view: view, steps: r.collect(name, view)}
 		}
 	}
@@ -71,6 +76,7 @@
 		if v.Services[name] == nil {
 			delete(r.moving, name)
 			delete(r.ready, name)
+			delete(r.guards, name)
 		}
 	}
 	for zone := range v.LostZones {
@@ -119,10 +125,10 @@
 			continue // the proof can be ahead of this instance's state
 		}
 		var steps []ownership.ReleaseStep
-		for step := range r.ready[name] {
+		for step, lapsed := range r.ready[name] {
 			if r.passed(s.view.Services[name], step) {
 				delete(r.ready[name], step)
-			} else if _, moving := r.moving[name].steps[step]; moving {
+			} else if _, moving := r.moving[name].steps[step]; moving && (lapsed || r.unguarded(s, name, step)) {
 				steps = append(steps, step)
 			}
 		}
@@ -136,6 +142,35 @@
 	return nil
 }
 
+// guard notes changes of hot keys. A request for the key that began before runs under the other partition of the key, which
+// the end of this one says nothing about, so a proof without a lapse counts only after the longest run.
+func (r *releases) guard(name entity.ServiceName, before, after *ownership.ServiceView, until time.Duration) {
+	if before == nil || maps.Equal(before.Hot, after.Hot) {
+		return
+	}
+	if r.guards[name] == nil {
+		r.guards[name] = map[entity.Partition]time.Duration{}
+	}
+	for hash, virtual := range after.Hot {
+		if old, hot := before.Hot[hash]; !hot || old != virtual {
+			r.guards[name][virtual] = until
+		}
+	}
+	for hash := range before.Hot {
+		if _, hot := after.Hot[hash]; !hot {
+			r.guards[name][entity.PartitionOf(hash, after.Count)] = until
+		}
+	}
+}
+
+func (r *releases) unguarded(s *situation, name entity.ServiceName, step ownership.ReleaseStep) bool {
+	until, guarded := r.guards[name][step.Partition]
+	if guarded && s.now >= until {
+		delete(r.guards[name], step.Partition)
+	}
+	return s.now >= until
+}
+
 // passed reports whether an assignment is no longer current.
 func (r *releases) passed(v *ownership.ServiceView, step ownership.ReleaseStep) bool {
 	return int(step.Partition) >= len(v.Owners) || v.Owners[step.Partition].Epoch > step.Epoch
--- a/internal/service/control/settings.go
+++ b/internal/service/control/settings.go
@@ -53,6 +53,8 @@
 const (
 	// tickInterval is the time between two looks at what is due without a message.
 	tickInterval = 100 * time.Millisecond
+	// readPause is the shortest time between two reads that bring nothing, for a platform that does not wait.
+	readPause = 20 * time.Millisecond
 	// readWait is how long a read waits for records. Freshness of 300 ms allows two such reads.
 	readWait = 100 * time.Millisecond
 	// retryInterval is the time between tries to reach a platform that failed.
@@ -75,6 +77,8 @@
 	coordinatorDelay = time.Second
 	// maxRank bounds the number of instances that watch one service.
 	maxRank = 8
+	// emptyZoneGrace is how long a zone without members keeps its partitions. It covers a restart of all instances.
+	emptyZoneGrace = 10 * time.Second
 	// balanceInterval is the time between two looks at the balance of a service without a change.
 	balanceInterval = time.Second
 	// balancePerPartition is added to it for each partition. A look at 160,000 partitions takes about 0.1 s, which is about
--- a/internal/service/control/zones.go
+++ b/internal/service/control/zones.go
@@ -33,6 +33,8 @@
 	// standing are the votes announced to lease.
 	standing map[entity.Zone]bool
 	wantedAt map[entity.Zone]time.Duration
+	// emptySince is when a configured zone was first found without members.
+	emptySince map[entity.Zone]time.Duration
 }
 
 func newZones(logger *zap.Logger) *zones {
@@ -43,6 +45,7 @@
 		lostAt:         map[entity.Zone]time.Duration{},
 		standing:       map[entity.Zone]bool{},
 		wantedAt:       map[entity.Zone]time.Duration{},
+		emptySince:     map[entity.Zone]time.Duration{},
 		delegateSince:  -1,
 		connectedSince: -1,
 	}
@@ -58,6 +61,7 @@
 		}
 	}
 	maps.DeleteFunc(z.knownSince, func(zone entity.Zone, _ time.Duration) bool { return !members[zone] })
+	maps.DeleteFunc(z.emptySince, func(zone entity.Zone, _ time.Duration) bool { return members[zone] })
 	maps.DeleteFunc(z.heardAt, func(zone entity.Zone, _ time.Duration) bool { return !members[zone] })
 	for zone := range v.LostZones {
 		if _, known := z.lostAt[zone]; !known {
@@ -73,6 +77,14 @@
 	}
 }
 
+// emptyFor returns how long a zone has had no members here.
+func (z *zones) emptyFor(s *situation, zone entity.Zone) time.Duration {
+	if _, known := z.emptySince[zone]; !known {
+		z.emptySince[zone] = s.now
+	}
+	return s.now - z.emptySince[zone]
+}
+
 func memberZones(v *ownership.View) map[entity.Zone]bool {
 	members := map[entity.Zone]bool{}
 	for _, m := range v.Members {
