Ask deciders that look at the whole roster only when it can matter

Cause: every heartbeat answer made all deciders look at all members, which costs too much with 10,000 of them.

Change: after a message only the deciders that restore service are asked; the others are asked after each tick of 100 ms and each change of the state or the configuration. The roster is compared by identity, since views share it.

--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -52,7 +52,11 @@
 	heat        *heat
 	shares      *shares
 	checkpoints *checkpoints
-	deciders    []decider
+	// urgent deciders restore service and are asked after each message. The others look at the whole roster and are asked
+	// after each tick and each change of what they look at.
+	urgent, regular []decider
+	asked           *ownership.View
+	askedConfig     *configIndex
 }
 
 // decider names the next record that it wants in the log, nil for none. It changes nothing that the record changes.
@@ -95,8 +99,9 @@
 	s.heat = newHeat()
 	s.shares = newShares()
 	s.checkpoints = &checkpoints{every: settings.CheckpointEvery, state: func() []ownership.Chunk { return s.state.Chunks() }}
-	// Earlier deciders go first: what restores service goes before what saves work.
-	s.deciders = []decider{s.losses, s.releases, s.roster, s.zones, s.assigner, s.heat, s.shares, s.checkpoints}
+	// Earlier deciders go first.
+	s.urgent = []decider{s.losses, s.releases}
+	s.regular = []decider{s.roster, s.zones, s.assigner, s.heat, s.shares, s.checkpoints}
 	return s
 }
 
@@ -195,7 +200,8 @@
 	default:
 		s.observe(turn, msg)
 	}
-	s.decide(turn)
+	_, tick := msg.(ticked)
+	s.decide(turn, tick)
 }
 
 // observe takes what other services have seen.
@@ -236,18 +242,31 @@
 }
 
 // decide appends the first record that a decider wants, if no append is under way and the state is current.
-func (s *Service) decide(turn *kernel.Turn) {
-	s.roster.finishLeave(s.situation(turn), s.writer.pending != nil)
+func (s *Service) decide(turn *kernel.Turn, tick bool) {
+	situation := s.situation(turn)
+	s.roster.finishLeave(situation, s.writer.pending != nil)
 	if s.writer.busy(turn.Now()) || !s.reader.current(turn.Now()) {
 		return
 	}
-	situation := s.situation(turn)
-	for _, d := range s.deciders {
+	if s.ask(situation, s.urgent) {
+		return
+	}
+	if !tick && s.asked == s.view && s.askedConfig == s.config {
+		return
+	}
+	s.asked, s.askedConfig = s.view, s.config
+	s.ask(situation, s.regular)
+}
+
+// ask appends the first record that one of the deciders wants, and reports whether there is one.
+func (s *Service) ask(situation *situation, deciders []decider) bool {
+	for _, d := range deciders {
 		if record := d.next(situation); record != nil {
-			s.append(turn, record)
-			return
+			s.append(situation.turn, record)
+			return true
 		}
 	}
+	return false
 }
 
 // publish makes the state visible if it has advanced.
--- a/internal/service/control/ranks.go
+++ b/internal/service/control/ranks.go
@@ -20,27 +20,17 @@
 // nothing happens for coordinatorDelay each. Two coordinators at once are harmless.
 type ranks struct {
 	self    entity.InstanceID
+	seen    *ownership.View // the last view whose roster was taken
 	members []ownership.Member
-	zones   entity.Offset
 	cache   map[string]int
 }
 
 // update takes the roster of a view. Members of lost zones coordinate nothing.
 func (r *ranks) update(v *ownership.View, self entity.InstanceID) {
-	same := r.cache != nil && r.zones == v.ZonesVersion && len(r.members) == len(v.Members) &&
-		(len(r.members) == 0 || &r.members[0] == &v.Members[0])
-	if same {
-		return
-	}
-	*r = ranks{self: self, members: v.Members, zones: v.ZonesVersion, cache: map[string]int{}}
-	for _, m := range v.Members {
-		if _, lost := v.LostZones[m.Zone]; lost {
-			r.members = nil
-		}
-	}
-	if r.members != nil {
+	if r.seen != nil && r.seen.ZonesVersion == v.ZonesVersion && sameRoster(r.seen, v) {
 		return
 	}
+	*r = ranks{self: self, seen: v, cache: map[string]int{}}
 	for _, m := range v.Members {
 		if _, lost := v.LostZones[m.Zone]; !lost {
 			r.members = append(r.members, m)
--- a/internal/service/control/roster.go
+++ b/internal/service/control/roster.go
@@ -34,6 +34,7 @@
 	hasAsked   bool
 	// left is closed once this instance is out of the roster; nil unless it stops.
 	left   chan<- struct{}
+	seen   *ownership.View // the last view whose roster was noted
 	done   bool
 	joined bool
 	list   instanceList
@@ -64,6 +65,10 @@
 
 // applied notes when members and group versions became known here, and forgets those that are gone.
 func (r *roster) applied(now time.Duration, v *ownership.View) {
+	if sameRoster(r.seen, v) {
+		return
+	}
+	r.seen = v
 	for key, version := range v.GroupVersions {
 		if r.versions[key].version != version {
 			r.versions[key] = appliedVersion{version: version, at: now}
@@ -92,6 +97,14 @@
 	}
 }
 
+// sameRoster reports whether two views share their roster. It does not compare the members, which can be many.
+func sameRoster(a, b *ownership.View) bool {
+	if a == nil || b == nil || len(a.Members) != len(b.Members) {
+		return false
+	}
+	return len(a.Members) == 0 || &a.Members[0] == &b.Members[0]
+}
+
 // maxPeers bounds the peers remembered that are not members.
 const maxPeers = 1024
 
