Add service that sends requests to back ends

Cause: the primary of a back end needs one place that queues, sends and says what is known of each request.

Ruled out: queueing with one goroutine per request beside the caller's own; streaming the caller's body to the back end (a slow caller would hold a slot, and neither the fingerprint nor a retry would be possible); freeing the slot of a canceled request at once (the back end may still run it) or only at its deadline (callers that cancel would block it).

Change: internal/service/dispatch with a lane per back end, the idempotency memory with copies at a peer and collection by a new primary, drains, crash blame, latency reports and metrics. New contracts: service.OutcomeCopier and OutcomeKeeper, Kernel.AfterFunc, BackendLatency.Straggler, version fields and states 4 to 6 of the peer protocol's OutcomeEntry. An at-most-once request without a copy is refused as not run unless the setting SendWithoutCopy says otherwise.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -195,3 +195,9 @@
 
 // Now returns the monotonic time of the kernel's clock.
 func (k *Kernel) Now() time.Duration { return k.clock.Now() }
+
+// AfterFunc calls f on a goroutine of its own when d has passed on the kernel's clock. The returned function cancels the
+// call. Traffic goroutines use it for deadlines; services use Turn.After.
+func (k *Kernel) AfterFunc(d time.Duration, f func()) (stop func() bool) {
+	return k.clock.AfterFunc(d, f)
+}
--- /dev/null
+++ b/internal/service/dispatch/crash.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/outcome"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// maxBlameReceivers bounds the instances that are told of a blamed request. The next owner's primary is most likely among
+// the first members, and each other one learns by itself after two crashes.
+const maxBlameReceivers = 64
+
+func (s *Service) suspect(suspect outcome.Suspect, now time.Duration) {
+	s.quarantineMu.Lock()
+	defer s.quarantineMu.Unlock()
+	s.quarantine.Suspect(suspect, now)
+}
+
+func (s *Service) cleared(suspect outcome.Suspect) {
+	s.quarantineMu.Lock()
+	defer s.quarantineMu.Unlock()
+	if !s.quarantine.Empty() {
+		s.quarantine.Cleared(suspect)
+	}
+}
+
+// blame counts a crash against a request, here and at the other instances: the request may be sent again to the next
+// owner of its key, whose primary is another one. The caller holds the lane's lock.
+func (s *Service) blame(l *lane, suspect outcome.Suspect, now time.Duration) {
+	s.quarantineMu.Lock()
+	s.quarantine.Blame(suspect, now)
+	s.quarantineMu.Unlock()
+	s.meters.blames.Inc(1)
+	telemetry.EventRequestBlamed.Log(s.log,
+		zap.String("backend", string(l.id)),
+		zap.String("customer", string(suspect.Customer)),
+		zap.Uint64("fingerprint", suspect.Fingerprint))
+	record := outcome.Record{
+		Key:         outcome.Key{Customer: suspect.Customer, Service: l.service},
+		Fingerprint: suspect.Fingerprint,
+		State:       outcome.StateBlamed,
+	}
+	term := l.term
+	s.work(func(ctx context.Context) {
+		for _, m := range s.blameReceivers() {
+			callCtx, cancel := context.WithTimeout(ctx, s.settings.CopyTimeout)
+			// A lost blame costs one more crash at most.
+			if err := s.copier.CopyOutcomes(callCtx, m.Address, l.id, term, []outcome.Record{record}); err != nil {
+				s.meters.copiesFailed.Inc(1)
+			}
+			cancel()
+		}
+	})
+}
+
+func (s *Service) blameReceivers() []ownership.Member {
+	members := s.others(s.plan.Load().view.Members)
+	return members[:min(len(members), maxBlameReceivers)]
+}
--- /dev/null
+++ b/internal/service/dispatch/dispatch.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/decide/outcome"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+)
+
+const (
+	// maxAttempts bounds the sends of one idempotent request.
+	maxAttempts = 3
+	// maxArrivals bounds the sends that may have reached the back end. A request whose connection broke may be the cause,
+	// so it is not sent a third time.
+	maxArrivals = 2
+)
+
+// Dispatch runs a request on its back end. The caller's goroutine waits for the slot and for the head of the answer; the
+// slot is held until the answer's body ends or is closed. The deadline of the request ends both.
+func (s *Service) Dispatch(ctx context.Context, req *service.Request) service.Response {
+	s.meters.requests.Inc(1)
+	resp := s.dispatch(ctx, req)
+	if resp.Outcome.Kind == entity.OutcomeAnswered {
+		return resp // counted when its body has ended
+	}
+	if resp.Outcome.Reason == entity.ReasonNotHolder {
+		resp.Holder = s.holderOf(req.Backend)
+	}
+	s.meters.outcome(resp.Outcome)
+	return resp
+}
+
+func refused(o entity.Outcome) service.Response { return service.Response{Outcome: o} }
+
+func (s *Service) dispatch(ctx context.Context, req *service.Request) service.Response {
+	if s.stopping.Load() {
+		return refused(entity.NotRun(entity.ReasonStopping, ""))
+	}
+	p := s.plan.Load()
+	if p == nil {
+		return refused(entity.NotRun(entity.ReasonNotHolder, "not ready yet"))
+	}
+	now := s.kernel.Now()
+	if now >= req.Deadline {
+		return refused(entity.NotRun(entity.ReasonDeadline, ""))
+	}
+	term, o, ok := s.mayServe(p, req, now)
+	if !ok {
+		return refused(o)
+	}
+	l := p.lanes[req.Backend]
+	if l == nil {
+		return refused(entity.NotRun(entity.ReasonNotHolder, "lease just gained"))
+	}
+	f, o, ok := s.newFlight(l, p, req)
+	if !ok {
+		return refused(o)
+	}
+	if o, ok := l.admit(f); !ok {
+		return refused(o)
+	}
+	if !req.Idempotent {
+		if resp, run := s.remember(ctx, f, p, term); !run {
+			l.leave(f)
+			return resp
+		}
+	}
+	return s.run(ctx, f)
+}
+
+// newFlight reads the request's body. It is read before the request queues, so that a slow caller holds no slot, and it
+// is kept, because the fingerprint covers it and a retry sends it again.
+func (s *Service) newFlight(l *lane, p *plan, req *service.Request) (*flight, entity.Outcome, bool) {
+	if !req.Idempotent && req.IdempotencyKey == "" {
+		return nil, entity.NotRun(entity.ReasonBadRequest, "an at-most-once request needs an idempotency key"), false
+	}
+	body, err := s.readBody(req)
+	if err != nil {
+		return nil, bodyRefusal(err), false
+	}
+	f := &flight{
+		lane:   l,
+		req:    req,
+		body:   body,
+		part:   outcome.PartitionKey{Service: req.Service, Partition: req.Partition},
+		hash:   entity.HashKey(req.Key),
+		maxRun: p.services[req.Service].maxRun,
+	}
+	f.suspect = outcome.Suspect{Customer: req.Customer, Fingerprint: fingerprint(req, body)}
+	if !req.Idempotent {
+		f.key = outcome.Key{Customer: req.Customer, Service: req.Service, IdempotencyKey: req.IdempotencyKey}
+	}
+	if s.treat(f.suspect, s.kernel.Now()) == outcome.TreatHeld {
+		return nil, heldBack(), false
+	}
+	return f, entity.Outcome{}, true
+}
+
+// Errors of a request's body.
+var (
+	errBodyTooLarge = errors.New("request body too large")
+	errBodyLength   = errors.New("request body differs from its stated length")
+)
+
+func bodyRefusal(err error) entity.Outcome {
+	if errors.Is(err, errBodyTooLarge) {
+		return entity.NotRun(entity.ReasonTooLarge, err.Error())
+	}
+	return entity.NotRun(entity.ReasonBadRequest, err.Error())
+}
+
+func (s *Service) readBody(req *service.Request) ([]byte, error) {
+	if req.Body == nil || req.Length == 0 {
+		return nil, nil
+	}
+	if req.Length > s.settings.MaxBody {
+		return nil, errBodyTooLarge
+	}
+	var buffer bytes.Buffer
+	if req.Length > 0 {
+		// ReadFrom wants room for one more read, which finds the end.
+		buffer.Grow(int(req.Length) + bytes.MinRead)
+	}
+	n, err := buffer.ReadFrom(io.LimitReader(req.Body, s.settings.MaxBody+1))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "read request body")
+	case n > s.settings.MaxBody:
+		return nil, errBodyTooLarge
+	case req.Length >= 0 && n != req.Length:
+		return nil, errBodyLength
+	default:
+		return buffer.Bytes(), nil
+	}
+}
+
+// fingerprint identifies a request by all that a back end's reaction to it can depend on, except for headers, which
+// differ between repeats.
+func fingerprint(req *service.Request, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [...]string{string(req.Service), req.Method, req.Path, req.RawQuery, req.Key} {
+		// Write and WriteString of a digest never fail.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write(separator)
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+// separator keeps adjacent parts of the fingerprint apart.
+var separator = []byte{0}
+
+// remember records an at-most-once request before it is queued. It reports false with the response if the request must
+// not be sent.
+func (s *Service) remember(ctx context.Context, f *flight, p *plan, term entity.Term) (service.Response, bool) {
+	l := f.lane
+	if o, ok := l.awaitMemory(ctx, f, p, term); !ok {
+		return refused(o), false
+	}
+	verdict := l.begin(f)
+	switch verdict.Decision {
+	case outcome.DecideRun:
+	case outcome.DecideReplay:
+		s.meters.replays.Inc(1)
+		return replay(verdict.Answer), false
+	default:
+		return refused(outcome.RefusalOf(verdict.Decision)), false
+	}
+	if s.copyFirst(ctx, l, p.peers, verdict.Record) {
+		return service.Response{}, true
+	}
+	l.forget(f)
+	return refused(entity.NotRun(entity.ReasonUnreachable, "no instance could keep a copy of the request's key")), false
+}
+
+// replay returns a kept answer.
+func replay(a *outcome.Answer) service.Response {
+	return service.Response{
+		Outcome: entity.Answered(),
+		Status:  a.Status,
+		Header:  http.Header(a.Header).Clone(),
+		Length:  int64(len(a.Body)),
+		Body:    io.NopCloser(bytes.NewReader(a.Body)),
+	}
+}
+
+// run sends the request, and again if that is allowed and can help.
+func (s *Service) run(ctx context.Context, f *flight) service.Response {
+	l := f.lane
+	for {
+		if o, ok := l.acquire(ctx, f); !ok {
+			return refused(l.abandon(f, o))
+		}
+		term, o, ok := s.mayServe(s.plan.Load(), f.req, s.kernel.Now())
+		if !ok {
+			return refused(l.abandon(f, o))
+		}
+		resp, failed := s.send(ctx, f, term)
+		if failed == nil {
+			return resp
+		}
+		if o, retry := l.failed(f, failed); !retry {
+			return refused(o)
+		}
+		s.meters.retries.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/service/dispatch/outcome_test.go
@@ -0,0 +1,332 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/backend"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/service/dispatch"
+)
+
+// primary returns a node that is the primary of the test back end in a group of three.
+func primary(t *testing.T, net *network, slots int) *node {
+	for _, id := range []entity.InstanceID{"i1", "i2", "i3"} {
+		net.node(t, id, nil).setUp(slots, "i1", "i2", "i3")
+	}
+	n := net.nodes["i1"]
+	n.lead(1)
+	return n
+}
+
+// blocking makes the back end wait for release, and tells when a request has arrived.
+func (n *node) blocking() (arrived chan *backend.Call, release chan struct{}) {
+	arrived, release = make(chan *backend.Call, 100), make(chan struct{})
+	n.backends.do = func(ctx context.Context, call *backend.Call) (*backend.Answer, error) {
+		arrived <- call
+		select {
+		case <-release:
+			return answer("ok"), nil
+		case <-ctx.Done():
+			return nil, failure(backend.FailureBroken)
+		}
+	}
+	return arrived, release
+}
+
+// Guards against a repeat that runs again, or that is refused as not run, while the first runs, after its answer, and
+// after a failover. The copies of the new primary's peers are what it knows.
+func TestRepeatsOfAnAtMostOnceRequest(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	arrived, release := n.blocking()
+	first := make(chan entity.Outcome, 1)
+	go func() {
+		o, _ := n.do(n.order("a"))
+		first <- o
+	}()
+	receive(t, arrived)
+	o, _ := n.do(n.order("a"))
+	require.Equal(t, entity.Unknown(entity.ReasonRepeatRunning, o.Detail), o)
+	other := n.order("a")
+	other.Path = "/other"
+	o, _ = n.do(other)
+	require.Equal(t, entity.NotRun(entity.ReasonBadRequest, o.Detail), o)
+
+	net.cut("i1")
+	n.yield("i2")
+	next := net.nodes["i2"]
+	next.lead(2)
+	o, _ = next.do(next.order("a"))
+	require.Equal(t, entity.Unknown(entity.ReasonRepeatUnknown, o.Detail), o, "the copy says that it may have run")
+
+	close(release)
+	require.Equal(t, entity.Answered(), receive(t, first))
+	o, body := next.do(next.order("b"))
+	require.Equal(t, entity.Answered(), o)
+	require.Equal(t, "ok", body)
+	o, body = next.do(next.order("b"))
+	require.Equal(t, entity.Answered(), o)
+	require.Equal(t, "ok", body)
+	require.EqualValues(t, 1, next.backends.sends.Load(), "the repeat got the kept answer")
+	next.stop() // its last copies reach the third member
+	net.cut("i2")
+	last := net.nodes["i3"]
+	last.lead(3)
+	o, _ = last.do(last.order("b"))
+	require.NotEqual(t, entity.OutcomeNotRun, o.Kind)
+	require.Zero(t, last.backends.sends.Load())
+}
+
+// Guards against a new primary that runs possible repeats although two members are gone whose memory it needs.
+func TestIncompleteMemoryRunsOnlyWhatStatesAYoungAge(t *testing.T) {
+	net := newNetwork()
+	primary(t, net, 1)
+	net.cut("i1")
+	net.cut("i2")
+	n := net.nodes["i3"]
+	n.lead(2)
+	old := n.order("a")
+	old.Age = -1
+	o, _ := n.do(old)
+	require.Equal(t, entity.Unknown(entity.ReasonMemoryIncomplete, o.Detail), o)
+	// With both other members gone, no copy can be made either.
+	young := n.order("b")
+	young.Age = 0
+	o, _ = n.do(young)
+	require.Equal(t, entity.NotRun(entity.ReasonUnreachable, o.Detail), o)
+	require.Zero(t, n.backends.sends.Load())
+}
+
+// Guards against at-most-once requests that wait for a copy that nobody can take, where the setting says to send.
+func TestSendWithoutCopyIsCounted(t *testing.T) {
+	net := newNetwork()
+	n := net.node(t, "i1", func(s *dispatch.Settings) { s.SendWithoutCopy = true })
+	n.setUp(1, "i1", "i2")
+	n.lead(1)
+	o := n.order("a")
+	o.Age = 0
+	got, _ := n.do(o)
+	require.Equal(t, entity.Answered(), got)
+	require.NotNil(t, n.registry.Get("dispatch.copies_failed"))
+}
+
+// Guards against "not run" after a send, and against "unknown" for a request that was canceled before it was sent.
+func TestCancelBeforeAndAfterSending(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	arrived, _ := n.blocking()
+	ctx, cancel := context.WithCancel(context.Background())
+	sent, queued := make(chan entity.Outcome, 1), make(chan entity.Outcome, 1)
+	go func() {
+		o, _ := n.doContext(ctx, n.order("a"))
+		sent <- o
+	}()
+	receive(t, arrived)
+	queuedCtx, cancelQueued := context.WithCancel(context.Background())
+	go func() {
+		o, _ := n.doContext(queuedCtx, n.order("b"))
+		queued <- o
+	}()
+	time.Sleep(20 * time.Millisecond)
+	cancelQueued()
+	require.Equal(t, entity.ReasonCanceled, (receive(t, queued)).Reason)
+	cancel()
+	o := receive(t, sent)
+	require.Equal(t, entity.Unknown(entity.ReasonCanceled, o.Detail), o)
+	o, _ = n.do(n.order("a"))
+	require.Equal(t, entity.Unknown(entity.ReasonRepeatUnknown, o.Detail), o)
+	n.backends.do = answerOK
+	o, _ = n.do(n.order("b"))
+	require.Equal(t, entity.Answered(), o, "a request canceled in the queue may run when it is repeated")
+}
+
+// Guards against a send after the lease was lost while the request waited.
+func TestLeaseLostInTheQueueSendsNothing(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	arrived, release := n.blocking()
+	results := make(chan entity.Outcome, 2)
+	for range 2 {
+		go func() {
+			o, _ := n.do(n.get("a"))
+			results <- o
+		}()
+	}
+	receive(t, arrived)
+	n.leases.view.Store(&service.LeaseView{}) // the message about the loss is still on its way
+	close(release)
+	outcomes := []entity.Outcome{receive(t, results), receive(t, results)}
+	require.Contains(t, outcomes, entity.Answered())
+	require.Contains(t, outcomes, entity.NotRun(entity.ReasonNotHolder, "another instance is the primary"))
+	require.EqualValues(t, 1, n.backends.sends.Load())
+}
+
+// Guards against a truncated or overlong answer that the caller takes for complete, and a memory that keeps it.
+func TestTruncatedAnswerBreaksTheBody(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	for _, length := range []int64{10, 3} {
+		n.backends.do = func(context.Context, *backend.Call) (*backend.Answer, error) {
+			a := answer("short")
+			a.Length = length
+			return a, nil
+		}
+		req := n.order(strings.Repeat("a", int(length)))
+		resp := n.service.Dispatch(context.Background(), req)
+		_, err := io.ReadAll(resp.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		require.NoError(t, resp.Body.Close())
+		repeat := n.order(req.Key)
+		o, _ := n.do(repeat)
+		require.Equal(t, entity.Unknown(entity.ReasonRepeatUnknown, o.Detail), o)
+	}
+}
+
+// Guards against "not run" after a failure that does not exclude that the request ran, and retries of what must not repeat.
+func TestFailuresOfTheBackend(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 2)
+	for _, c := range []struct {
+		kind backend.FailureKind
+		want entity.Outcome
+	}{
+		{backend.FailureNotSent, entity.NotRun(entity.ReasonUnreachable, "")},
+		{backend.FailureShed, entity.NotRun(entity.ReasonShed, "")},
+		{backend.FailureFenced, entity.NotRun(entity.ReasonFenced, "")},
+		{backend.FailureBroken, entity.Unknown(entity.ReasonBroken, "")},
+		{backend.FailureMismatch, entity.Unknown(entity.ReasonMismatch, "")},
+	} {
+		n.backends.do = func(context.Context, *backend.Call) (*backend.Answer, error) { return nil, failure(c.kind) }
+		before := n.backends.sends.Load()
+		o, _ := n.do(n.order(c.want.String()))
+		o.Detail = ""
+		require.Equal(t, c.want, o)
+		require.EqualValues(t, 1, n.backends.sends.Load()-before, "an at-most-once request is not retried")
+		n.backends.do = answerOK
+		o, _ = n.do(n.order(c.want.String()))
+		if c.want.Kind == entity.OutcomeNotRun {
+			require.Equal(t, entity.Answered(), o, "a request that has not run may run when it is repeated")
+		} else {
+			require.Equal(t, entity.ReasonRepeatUnknown, o.Reason)
+		}
+	}
+}
+
+// Guards against a request that crashes one server after another, and innocents that are held back with it.
+func TestRequestThatCrashesServersIsHeldBack(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 2)
+	crashes := 0
+	n.backends.do = func(_ context.Context, call *backend.Call) (*backend.Answer, error) {
+		if call.Path == "/crash" {
+			return nil, failure(backend.FailureBroken)
+		}
+		return answer("ok"), nil
+	}
+	n.deliver(service.BackendStarted{Backend: testBackend, StartID: "s0"})
+	killer := func() *service.Request {
+		r := n.get("k")
+		r.Path = "/crash"
+		return r
+	}
+	for {
+		before := n.backends.sends.Load()
+		o, _ := n.do(killer())
+		if o.Reason == entity.ReasonQuarantined {
+			require.Equal(t, entity.OutcomeNotRun, o.Kind)
+			break
+		}
+		require.Positive(t, n.backends.sends.Load()-before)
+		crashes++
+		n.deliver(service.BackendStarted{Backend: testBackend, StartID: strings.Repeat("s", crashes)})
+		n.deliver(service.DrainPartitions{Backend: "other"})
+		n.await(n.session)
+		o, _ = n.do(n.get("innocent"))
+		require.Equal(t, entity.Answered(), o)
+	}
+	require.Equal(t, 2, crashes)
+	// The other instances know, since one of them is the primary of the next owner.
+	require.Eventually(t, func() bool {
+		next := net.nodes["i2"]
+		next.lead(2)
+		o, _ := next.do(killer())
+		return o.Reason == entity.ReasonQuarantined
+	}, testWait, 10*time.Millisecond)
+}
+
+// Guards against a release of partitions while their requests run, or may run without a connection.
+func TestDrainWaitsForWhatIsInFlight(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 2)
+	arrived, release := n.blocking()
+	done := make(chan entity.Outcome, 1)
+	go func() {
+		o, _ := n.do(n.get("a"))
+		done <- o
+	}()
+	receive(t, arrived)
+	drained := service.DrainPartitions{
+		Backend:    testBackend,
+		Partitions: []service.PartitionEpoch{{Service: testService, Epoch: testEpoch}},
+	}
+	n.deliver(drained)
+	require.Eventually(t, func() bool {
+		o, _ := n.do(n.get("a"))
+		return o.Reason == entity.ReasonFenced
+	}, testWait, time.Millisecond)
+	require.Empty(t, n.session.got)
+	close(release)
+	require.Equal(t, entity.Answered(), receive(t, done))
+	require.Equal(t, service.PartitionsDrained{Backend: testBackend, Partitions: drained.Partitions}, n.await(n.session))
+}
+
+// Guards against a drain that takes a canceled request for ended: it may run until its deadline.
+func TestDrainReportsRequestsWithoutAKnownEnd(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 2)
+	n.backends.do = func(context.Context, *backend.Call) (*backend.Answer, error) {
+		return nil, failure(backend.FailureBroken)
+	}
+	req := n.order("a")
+	_, _ = n.do(req)
+	n.deliver(service.DrainPartitions{
+		Backend:    testBackend,
+		Partitions: []service.PartitionEpoch{{Service: testService, Epoch: testEpoch}},
+	})
+	got := n.await(n.session).(service.PartitionsDrained)
+	require.Equal(t, req.Deadline, got.Until)
+}
+
+// Guards against a planned stop that cuts off a running request or takes new ones.
+func TestStopWaitsForRunningRequests(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 2)
+	arrived, release := n.blocking()
+	done := make(chan entity.Outcome, 1)
+	go func() {
+		o, _ := n.do(n.get("a"))
+		done <- o
+	}()
+	receive(t, arrived)
+	stopped := make(chan struct{})
+	go func() {
+		n.stop()
+		close(stopped)
+	}()
+	require.Eventually(t, func() bool {
+		probe := n.get("a")
+		probe.Deadline = n.kernel.Now() + 20*time.Millisecond
+		o, _ := n.do(probe)
+		return o == entity.NotRun(entity.ReasonStopping, "")
+	}, testWait, time.Millisecond)
+	close(release)
+	require.Equal(t, entity.Answered(), receive(t, done))
+	receive(t, stopped)
+}
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -110,6 +110,8 @@
 	Requests uint64
 	// Hot are the keys with the largest part of the requests, largest first.
 	Hot []HotKey
+	// Straggler is true if the back end has been slower than its peers at this primary for several windows.
+	Straggler bool
 }
 
 // HotKey is a key that gets a large part of a back end's requests.
