--- a/internal/service/dispatch/collect.go
+++ b/internal/service/dispatch/collect.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// maxZoneMembers bounds the instances of a former owner's zone that are asked.
-	maxZoneMembers = 16
+	// maxAsked bounds the instances that are asked: the own lease group and a few groups of former owners. A member that is
+	// not asked counts as one that did not answer.
+	maxAsked = 32
 	// collectBatch is the number of partitions in one call, which keeps an answer under the peer protocol's limit.
 	collectBatch = 16
 )
@@ -102,11 +103,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.settings.CollectTimeout)
 	defer cancel()
 	partitions := partitionsOf(p, needed)
-	own, self := s.KnownOutcomes(l.service, partitions)
-	groups := s.groupsToAsk(p, needed)
-	reports := s.askAll(ctx, l.service, partitions, groups)
-	records := own
-	for _, r := range reports {
+	records, _ := s.KnownOutcomes(l.service, partitions)
+	answers := s.askAll(ctx, l.service, partitions, membersToAsk(p, s.self.ID, needed))
+	for _, r := range answers {
 		records = append(records, r.records...)
 	}
 	now := s.kernel.Now()
@@ -114,7 +113,7 @@
 	defer l.mu.Unlock()
 	l.memory.Import(records, now)
 	for _, a := range needed {
-		since := horizonOf(p, a.part, groups, reports, records, now-self, now)
+		since := l.horizonOf(p, a.part, answers, records, now)
 		l.memory.SetHorizon(a.part, a.epoch, since, now)
 	}
 	// The new primary and one more member hold all records again, so that another loss is survived.
@@ -122,7 +121,7 @@
 		l.post(l.memory.Export(keysOf(l.service, partitions), now)...)
 	}
 	telemetry.EventCollected.Log(s.log, zap.String("backend", string(l.id)),
-		zap.Int("partitions", len(needed)), zap.Int("members", len(reports)), zap.Int("records", len(records)))
+		zap.Int("partitions", len(needed)), zap.Int("members", len(answers)), zap.Int("records", len(records)))
 }
 
 // partitionsOf returns the partitions to ask for: the needed ones and those that shared keys with them.
@@ -152,31 +151,23 @@
 	return keys
 }
 
-// memberGroup is a set of members that share the records of a back end. The own lease group has an empty zone.
-type memberGroup struct {
-	zone    entity.Zone
-	members []ownership.Member
-}
-
-// groupsToAsk returns the own lease group and the members of the zones of former owners.
-func (s *Service) groupsToAsk(p *plan, needed []assignment) []memberGroup {
-	groups := []memberGroup{{members: p.peers}}
-	asked := map[entity.Zone]bool{s.self.Zone: true, "": true}
-	for _, a := range needed {
-		zone := p.past[a.part].zone
-		if asked[zone] {
-			continue
-		}
-		asked[zone] = true
-		g := memberGroup{zone: zone}
-		for _, m := range p.view.Members {
-			if m.Zone == zone {
-				g.members = append(g.members, m)
+// membersToAsk returns the own lease group and the groups that served former owners.
+func membersToAsk(p *plan, self entity.InstanceID, needed []assignment) []ownership.Member {
+	asked := map[entity.InstanceID]bool{self: true}
+	var members []ownership.Member
+	add := func(group []ownership.Member) {
+		for _, m := range group {
+			if !asked[m.ID] {
+				asked[m.ID] = true
+				members = append(members, m)
 			}
 		}
-		groups = append(groups, g)
 	}
-	return groups
+	add(p.peers)
+	for _, a := range needed {
+		add(p.past[a.part].former)
+	}
+	return members[:min(len(members), maxAsked)]
 }
 
 // memberReport is what one member answered.
@@ -185,27 +176,41 @@
 	since   time.Duration // it has everything that it was given since then
 }
 
-// askAll asks all members at once. Members that do not answer in time are absent from the result.
+// reports holds the answers by member. Members that did not answer in time are absent.
+type reports map[entity.InstanceID]memberReport
+
+// askAll asks all members at once.
 func (s *Service) askAll(ctx context.Context, name entity.ServiceName, partitions []entity.Partition,
-	groups []memberGroup) map[entity.InstanceID]memberReport {
+	members []ownership.Member) reports {
 	var mu sync.Mutex
 	var asking sync.WaitGroup
-	reports := map[entity.InstanceID]memberReport{}
-	for _, g := range groups {
-		for _, m := range g.members[:min(len(g.members), maxZoneMembers)] {
-			asking.Go(func() {
-				r, err := s.ask(ctx, m.Address, name, partitions)
-				if err != nil {
-					return
-				}
-				mu.Lock()
-				defer mu.Unlock()
-				reports[m.ID] = r
-			})
-		}
+	answers := reports{}
+	for _, m := range members {
+		asking.Go(func() {
+			r, err := s.ask(ctx, m.Address, name, partitions)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[m.ID] = r
+		})
 	}
 	asking.Wait()
-	return reports
+	return answers
+}
+
+// since returns for each member the time since which it has everything, which is now if it did not answer.
+func (r reports) since(members []ownership.Member, now time.Duration) []time.Duration {
+	times := make([]time.Duration, 0, len(members)+1)
+	for _, m := range members {
+		at := now
+		if answer, ok := r[m.ID]; ok {
+			at = answer.since
+		}
+		times = append(times, at)
+	}
+	return times
 }
 
 // ask collects from one member, some partitions at a time.
@@ -225,33 +230,26 @@
 	return report, nil
 }
 
-// horizonOf returns the time since which the memory of the partition is complete.
-func horizonOf(p *plan, part outcome.PartitionKey, groups []memberGroup, reports map[entity.InstanceID]memberReport,
-	records []outcome.Record, self, now time.Duration) time.Duration {
+// horizonOf returns the time since which the memory of the partition is complete: both the own group, which has the
+// requests since the back end owns the partition, and the group of the former owner must have everything since then.
+func (l *lane) horizonOf(p *plan, part outcome.PartitionKey, answers reports, records []outcome.Record,
+	now time.Duration) time.Duration {
 	past := p.past[part]
+	own := append(answers.since(p.peers, now), l.svc.started)
+	for _, r := range p.removed {
+		own = append(own, r.at)
+	}
+	groups := [][]time.Duration{own}
+	if len(past.former) > 0 {
+		answers[l.svc.self.ID] = memberReport{since: l.svc.started}
+		groups = append(groups, answers.since(past.former, now))
+	}
 	since := time.Duration(0)
-	for _, g := range groups {
-		if g.zone != "" && g.zone != past.zone {
-			continue
-		}
-		var members []time.Duration
-		if g.zone == "" {
-			members = append(members, self)
-			for _, r := range p.removed {
-				members = append(members, r.at)
-			}
-		}
-		for _, m := range g.members {
-			if r, ok := reports[m.ID]; ok {
-				members = append(members, r.since)
-			} else {
-				members = append(members, now)
-			}
-		}
-		since = max(since, outcome.Horizon(members, records, part, now))
+	for _, group := range groups {
+		since = max(since, outcome.Horizon(group, records, part, now))
 		for _, q := range past.also {
 			other := outcome.PartitionKey{Service: part.Service, Partition: q}
-			since = max(since, outcome.Horizon(members, records, other, now))
+			since = max(since, outcome.Horizon(group, records, other, now))
 		}
 	}
 	if past.born && since <= past.bornAt {
--- a/internal/service/dispatch/history.go
+++ b/internal/service/dispatch/history.go
@@ -1,12 +1,16 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pollenpier/pollenpier/internal/decide/outcome"
 	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/decide/rendezvous"
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
 )
 
 // freshnessBound is the age that a fresh view of the log may have (see service.LeaseView.FreshUntil).
@@ -21,8 +25,9 @@
 
 // history is what this instance has seen of the former owners of a partition.
 type history struct {
-	// zone is the zone of the last other owner, empty if none was seen.
-	zone entity.Zone
+	// former are the members of the lease group that served the last other owner. They may hold records that this
+	// instance's own group does not have.
+	former []ownership.Member
 	// also are partitions whose requests may concern the same keys: the base partition of a hot key or the reverse.
 	also []entity.Partition
 	// revision changes when the memory has to be collected again although the epoch is the same.
@@ -53,9 +58,10 @@
 		if old == nil {
 			old = &ownership.ServiceView{}
 		}
-		st.noteOwners(past, name, old, view, st.view != nil && st.viewAt >= 0)
-		st.noteHotKeys(past, name, old, view)
+		st.noteOwners(past, name, before, old, view)
+		st.noteHotKeys(past, name, before, old, view)
 	}
+	st.noteGroups(past, before, next)
 	st.past = past
 	st.view = next
 	st.viewAt = -1
@@ -83,17 +89,15 @@
 	st.removed = removed
 }
 
-// noteOwners records new owners. Fresh says that the old view was the end of the log, so that a partition without an
-// owner in it never had one: an older view shows only that it had none at that point of the replay.
+// noteOwners records new owners. If the old view was the end of the log, a partition without an owner in it never had one;
+// otherwise it shows only that there was none at that point of the replay.
 func (st *controlState) noteOwners(past map[outcome.PartitionKey]history, name entity.ServiceName,
-	old, next *ownership.ServiceView, fresh bool) {
+	before *ownership.View, old, next *ownership.ServiceView) {
+	fresh := st.view != nil && st.viewAt >= 0
 	for i, owner := range next.Owners {
-		if owner.Backend == "" {
-			continue
-		}
 		key := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
 		if i >= len(old.Owners) || neverOwned(old.Owners[i]) {
-			if fresh && uint32(i) < next.Count {
+			if fresh && owner.Backend != "" && uint32(i) < next.Count {
 				past[key] = history{born: true, bornAt: st.viewAt}
 			}
 			continue
@@ -103,7 +107,7 @@
 			continue
 		}
 		h := past[key]
-		h.zone = st.zoneOf(former)
+		h.former = st.groupOf(before, former)
 		past[key] = h
 	}
 }
@@ -112,7 +116,7 @@
 
 // noteHotKeys links virtual partitions with the base partitions of their keys.
 func (st *controlState) noteHotKeys(past map[outcome.PartitionKey]history, name entity.ServiceName,
-	old, next *ownership.ServiceView) {
+	before *ownership.View, old, next *ownership.ServiceView) {
 	for hash, virtual := range next.Hot {
 		base := entity.PartitionOf(hash, next.Count)
 		key := outcome.PartitionKey{Service: name, Partition: virtual}
@@ -122,7 +126,7 @@
 		}
 		h = past[outcome.PartitionKey{Service: name, Partition: base}]
 		if int(base) < len(old.Owners) {
-			h.zone = st.zoneOf(old.Owners[base].Backend)
+			h.former = st.groupOf(before, old.Owners[base].Backend)
 		}
 		h.also = []entity.Partition{base}
 		h.revision++
@@ -134,12 +138,67 @@
 		}
 		key := outcome.PartitionKey{Service: name, Partition: entity.PartitionOf(hash, next.Count)}
 		h := past[key]
-		h.zone = st.zoneOf(old.Owners[virtual].Backend)
+		h.former = st.groupOf(before, old.Owners[virtual].Backend)
 		h.also = []entity.Partition{virtual}
 		h.revision++
 		past[key] = h
 	}
 }
 
-// zoneOf returns the zone of a configured back end.
-func (st *controlState) zoneOf(id entity.BackendID) entity.Zone { return st.backends[id].zone }
+// noteGroups records that back ends are served by another lease group than before, because groups were added or removed.
+func (st *controlState) noteGroups(past map[outcome.PartitionKey]history, before, next *ownership.View) {
+	if slices.Equal(groupsOf(before), groupsOf(next)) {
+		return
+	}
+	for name, view := range next.Services {
+		for i, owner := range view.Owners {
+			if owner.Backend == "" {
+				continue
+			}
+			was, hadGroup := st.groupKey(before, owner.Backend)
+			is, _ := st.groupKey(next, owner.Backend)
+			if !hadGroup || was == is {
+				continue
+			}
+			key := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
+			h := past[key]
+			h.former = before.Group(was)
+			h.revision++
+			past[key] = h
+		}
+	}
+}
+
+// groupsOf returns the lease groups in a fixed order.
+func groupsOf(v *ownership.View) []ownership.GroupKey {
+	var keys []ownership.GroupKey
+	for _, m := range v.Members {
+		keys = append(keys, ownership.GroupKey{Zone: m.Zone, Group: m.Group})
+	}
+	slices.SortFunc(keys, func(a, b ownership.GroupKey) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Group, b.Group))
+	})
+	return slices.Compact(keys)
+}
+
+// groupKey returns the lease group that serves a back end.
+func (st *controlState) groupKey(v *ownership.View, id entity.BackendID) (ownership.GroupKey, bool) {
+	zone := st.backends[id].zone
+	var groups []uint32
+	for _, key := range groupsOf(v) {
+		if key.Zone == zone {
+			groups = append(groups, key.Group)
+		}
+	}
+	group, ok := rendezvous.Group(string(service.BackendLease(id)), groups)
+	return ownership.GroupKey{Zone: zone, Group: group}, ok
+}
+
+// groupOf returns the members of the lease group that serves a back end.
+func (st *controlState) groupOf(v *ownership.View, id entity.BackendID) []ownership.Member {
+	key, ok := st.groupKey(v, id)
+	if !ok {
+		return nil
+	}
+	return v.Group(key)
+}
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -65,6 +65,7 @@
 // New returns the service.
 func New(self service.Self, settings Settings, log *zap.Logger, registry metrics.Registry) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
+	settings = settings.withDefaults()
 	return &Service{
 		self:       self,
 		settings:   settings,
--- a/internal/service/dispatch/settings.go
+++ b/internal/service/dispatch/settings.go
@@ -1,12 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// Settings of the service. The zero value is not valid; start from DefaultSettings.
+// Settings of the service. Zero values mean the defaults.
 type Settings struct {
 	// QueueLimit is the number of requests that wait per back end. Default 1024.
 	QueueLimit int
@@ -44,8 +45,22 @@
 	}
 }
 
+// withDefaults replaces zero values.
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	s.QueueLimit = cmp.Or(s.QueueLimit, d.QueueLimit)
+	s.BufferLimit = cmp.Or(s.BufferLimit, d.BufferLimit)
+	s.MaxBody = cmp.Or(s.MaxBody, d.MaxBody)
+	s.CopyTimeout = cmp.Or(s.CopyTimeout, d.CopyTimeout)
+	s.CollectTimeout = cmp.Or(s.CollectTimeout, d.CollectTimeout)
+	s.MemoryEntries = cmp.Or(s.MemoryEntries, d.MemoryEntries)
+	s.MemoryAnswerBytes = cmp.Or(s.MemoryAnswerBytes, d.MemoryAnswerBytes)
+	s.MemoryWindow = cmp.Or(s.MemoryWindow, d.MemoryWindow)
+	return s
+}
+
 // ErrSettings is the error of a setting out of range.
-var ErrSettings = errors.New("dispatch setting must be positive")
+var ErrSettings = errors.New("dispatch setting must not be negative")
 
 func (s *Settings) validate() error {
 	for _, c := range []struct {
