Add the decisions on rates across instances

No customer may exceed its rate and burst over all instances together, and a small burst must not be lost in shares.

Instances report what they spent and close batches that they do not need, so that the rest returns to the bucket while it still counts as outstanding. Returning tokens after their expiry was ruled out: they would come on top of a bucket that has filled meanwhile.

--- /dev/null
+++ b/internal/decide/admission/wallet.go
@@ -0,0 +1,73 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Batch is a batch of tokens that an instance may spend. Its methods are safe for concurrent use.
+type Batch struct {
+	sequence uint64
+	tokens   int64
+	until    time.Duration
+	left     atomic.Int64
+}
+
+func newBatch(sequence uint64, tokens uint32, until time.Duration) *Batch {
+	b := &Batch{sequence: sequence, tokens: int64(tokens), until: until}
+	b.left.Store(int64(tokens))
+	return b
+}
+
+// Spend takes one token if there is one at time now. Low is true for the one call that leaves a quarter of a larger batch.
+func (b *Batch) Spend(now time.Duration) (ok, low bool) {
+	if now >= b.until {
+		return false, false
+	}
+	for {
+		left := b.left.Load()
+		if left <= 0 {
+			return false, false
+		}
+		if b.left.CompareAndSwap(left, left-1) {
+			return true, b.tokens >= minLow && left-1 == b.tokens/minLow
+		}
+	}
+}
+
+// minLow is the smallest batch, in tokens, that is replaced before it is used up, and the divisor of what is left then.
+const minLow = 4
+
+// close ends the batch and returns its report.
+func (b *Batch) close() Report {
+	left := b.left.Swap(0)
+	return Report{Sequence: b.sequence, Spent: uint32(b.tokens - left), Closed: true}
+}
+
+// report tells what has been spent so far.
+func (b *Batch) report() Report {
+	return Report{Sequence: b.sequence, Spent: uint32(b.tokens - b.left.Load())}
+}
+
+// Wallet holds the tokens of one customer at one instance. Spend and Arrive are safe for concurrent use and do not
+// allocate; everything else belongs to the Client.
+type Wallet struct {
+	batch    atomic.Pointer[Batch]
+	arrivals atomic.Int64
+	retry    atomic.Int64
+}
+
+// Arrive counts a request, from which the demand is estimated.
+func (w *Wallet) Arrive() { w.arrivals.Add(1) }
+
+// Spend takes one token if there is one at time now. If low is true, the client should ask for more.
+func (w *Wallet) Spend(now time.Duration) (ok, low bool) {
+	b := w.batch.Load()
+	if b == nil {
+		return false, false
+	}
+	return b.Spend(now)
+}
+
+// Retry returns the time after which a token can be expected, as far as the token server has said.
+func (w *Wallet) Retry() time.Duration { return time.Duration(w.retry.Load()) }
