--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
 )
@@ -28,8 +27,6 @@
 	Config kernel.Name = "config"
 	// Control replays the control stream and owns the ownership state.
 	Control kernel.Name = "control"
-	// Membership combines the platform's list, heartbeats and evidence.
-	Membership kernel.Name = "membership"
 	// Lease holds and votes on majority leases.
 	Lease kernel.Name = "lease"
 	// Admission hands out and spends rate tokens.
@@ -164,8 +161,3 @@
 	}
 	return 0, false
 }
-
-// OwnershipSource gives traffic goroutines the replayed ownership state. Nil before the first records were applied.
-type OwnershipSource interface {
-	Ownership() *ownership.View
-}
