--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -86,7 +86,7 @@
 }
 
 func newSession(self service.Self, log *zap.Logger, r metrics.Registry) *session.Service {
-	return session.New(self, session.Settings{}, log, r)
+	return session.New(self, session.DefaultSettings(), log, r)
 }
 
 func newAdmission(self service.Self, log *zap.Logger, r metrics.Registry) *admission.Service {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -18,6 +18,7 @@
 // Handler answers decoded calls.
 type Handler interface {
 	service.Dispatcher
+	service.OutcomeKeeper
 	Heartbeat(ctx context.Context, req service.HeartbeatRequest) (service.HeartbeatResponse, error)
 	// State returns the replayed state of a stream of the log.
 	State(ctx context.Context, stream platform.Stream) (service.StateAnswer, error)
--- a/internal/service/peers/peers.go
+++ b/internal/service/peers/peers.go
@@ -19,6 +19,7 @@
 	_ service.StateSource       = (*Peers)(nil)
 	_ service.ConfigStateSource = (*Peers)(nil)
 	_ service.RecordSource      = (*Peers)(nil)
+	_ service.OutcomeCopier     = (*Peers)(nil)
 )
 
 // New returns the service.
--- a/internal/service/peerserver/peerserver.go
+++ b/internal/service/peerserver/peerserver.go
@@ -33,6 +33,7 @@
 
 	kernel   *kernel.Kernel
 	dispatch service.Dispatcher
+	service.OutcomeKeeper
 
 	socket net.Listener
 	cancel context.CancelFunc
@@ -57,7 +58,10 @@
 func (s *PeerServer) Provision(r *kernel.Resolver) error {
 	s.kernel = r.Kernel()
 	var err error
-	s.dispatch, err = kernel.Lookup[service.Dispatcher](r, service.Dispatch)
+	if s.dispatch, err = kernel.Lookup[service.Dispatcher](r, service.Dispatch); err != nil {
+		return err
+	}
+	s.OutcomeKeeper, err = kernel.Lookup[service.OutcomeKeeper](r, service.Dispatch)
 	return err
 }
 
