--- a/internal/service/peers/peers.go
+++ b/internal/service/peers/peers.go
@@ -20,6 +20,7 @@
 	_ service.ConfigStateSource = (*Peers)(nil)
 	_ service.RecordSource      = (*Peers)(nil)
 	_ service.OutcomeCopier     = (*Peers)(nil)
+	_ service.TokenLeaser       = (*Peers)(nil)
 )
 
 // New returns the service.
--- a/internal/service/peerserver/peerserver.go
+++ b/internal/service/peerserver/peerserver.go
@@ -51,7 +51,7 @@
 
 // Needs implements kernel.Service.
 func (s *PeerServer) Needs() []kernel.Name {
-	return []kernel.Name{service.Dispatch, service.Lease, service.Control, service.Config}
+	return []kernel.Name{service.Dispatch, service.Lease, service.Control, service.Config, service.Admission}
 }
 
 // Provision implements kernel.Service.
@@ -115,6 +115,13 @@
 	})
 }
 
+// LeaseTokens implements peer.Handler.
+func (s *PeerServer) LeaseTokens(ctx context.Context, req service.TokenRequest) (service.TokenResponse, error) {
+	return ask(ctx, s.kernel, service.Admission, func(reply chan<- service.TokenResponse) kernel.Message {
+		return service.TokensQuery{Request: req, Reply: reply}
+	})
+}
+
 // State implements peer.Handler.
 func (s *PeerServer) State(ctx context.Context, stream platform.Stream) (service.StateAnswer, error) {
 	owner, err := streamOwner(stream)
