Add the admission service

Traffic must learn within nanoseconds whether a customer may send one more request, and the role of the token server must move between instances without a second burst.

Spending is lock-free from a wallet that the control goroutine refills. A request without a token waits in its customer's own queue, until its deadline and at most MaxWait, and a refusal says how long to wait. The token server role follows the lease of the shard; the lease is checked again for each request, because it may have ended while the process was paused.

--- /dev/null
+++ b/internal/service/admission/admission.go
@@ -0,0 +1,236 @@
+// Package admission decides whether a customer may send one more request. It spends tokens that it leases from the token
+// server of its zone, and is that server while it holds the lease of the shard.
+package admission
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/admission"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// shard is the only customer shard so far.
+const shard uint32 = 0
+
+// Service is the service named admission. Its fields below the table belong to the control goroutine.
+type Service struct {
+	self     service.Self
+	settings Settings
+	logger   *zap.Logger
+	counters counters
+	kernel   *kernel.Kernel
+	leaser   service.TokenLeaser
+	leases   service.LeaseSource
+
+	table kernel.Snapshot[accounts]
+
+	config *operator.Config
+	view   *ownership.View
+	limits map[entity.CustomerID]admission.Limits
+	client *admission.Client
+	demand map[entity.CustomerID]*demand
+	// wanting is the part of demand that may need tokens.
+	wanting map[entity.CustomerID]*demand
+	calls   calls
+	server  *admission.Server // nil while another instance is the token server
+	holding service.HeldLease // of the server
+}
+
+// demand is what a customer needs at this instance.
+type demand struct {
+	queue queue
+	// low is true if tokens are wanted although no request waits.
+	low bool
+	// retryAt is the time before which the server has no token.
+	retryAt time.Duration
+}
+
+type counters struct{ refused, requests, failures, granted metrics.Counter }
+
+// New returns the service. The settings get their defaults.
+func New(self service.Self, settings Settings, logger *zap.Logger, registry metrics.Registry) *Service {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("admission."+name, registry) }
+	return &Service{
+		self:     self,
+		settings: settings.withDefaults(),
+		logger:   logger,
+		counters: counters{
+			refused:  counter("refused"),
+			requests: counter("token.requests"),
+			failures: counter("token.requests.failed"),
+			granted:  counter("tokens.granted"),
+		},
+		client:  admission.NewClient(self.ID, shard, 0),
+		demand:  map[entity.CustomerID]*demand{},
+		wanting: map[entity.CustomerID]*demand{},
+	}
+}
+
+// Name is the name in the registry.
+func (s *Service) Name() kernel.Name { return service.Admission }
+
+// Needs lists the peers and the leases.
+func (s *Service) Needs() []kernel.Name { return []kernel.Name{service.Peers, service.Lease} }
+
+// Provision looks up the peers and the leases.
+func (s *Service) Provision(r *kernel.Resolver) error {
+	s.kernel = r.Kernel()
+	var err error
+	if s.leaser, err = kernel.Lookup[service.TokenLeaser](r, service.Peers); err != nil {
+		return err
+	}
+	s.leases, err = kernel.Lookup[service.LeaseSource](r, service.Lease)
+	return err
+}
+
+// Validate checks the settings.
+func (s *Service) Validate() error { return s.settings.validate() }
+
+// Start does nothing: the limits arrive as messages.
+func (s *Service) Start(context.Context) error { return nil }
+
+// Stop does nothing: tokens that are left expire.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// lowTokens is posted when a wallet is nearly empty.
+type lowTokens struct{ customer entity.CustomerID }
+
+// Handle runs on the control goroutine.
+func (s *Service) Handle(turn *kernel.Turn, msg kernel.Message) {
+	switch m := msg.(type) {
+	case *waiter:
+		if d, ok := s.demand[m.customer]; ok {
+			d.queue.waiters = append(d.queue.waiters, m)
+			s.wanting[m.customer] = d
+		}
+	case lowTokens:
+		if d, ok := s.demand[m.customer]; ok {
+			d.low = true
+			s.wanting[m.customer] = d
+		}
+	case service.ConfigChanged:
+		s.config = m.Config
+		s.changeLimits(turn.Now())
+	case service.OwnershipChanged:
+		s.view = m.View
+		s.changeLimits(turn.Now())
+	case service.LeaseChanged:
+		s.updateRole(turn.Now())
+	case service.TokensQuery:
+		reply(m.Reply, s.answer(turn.Now(), m.Request))
+	case callDone:
+		s.finishCall(turn, m)
+	case wake:
+		s.calls.wakeAt = 0
+	}
+	s.call(turn)
+}
+
+// changeLimits computes the limits of this zone from the configuration and the shares of the zones.
+func (s *Service) changeLimits(now time.Duration) {
+	if s.config == nil || s.view == nil {
+		return
+	}
+	zones := make([]entity.Zone, len(s.config.Zones))
+	for i, z := range s.config.Zones {
+		zones[i] = entity.Zone(z.Name)
+	}
+	former := s.limits
+	s.limits = make(map[entity.CustomerID]admission.Limits, len(s.config.Customers))
+	table := make(accounts, len(s.config.Customers))
+	for _, c := range s.config.Customers {
+		id := entity.CustomerID(c.Name)
+		total := admission.Limits{Rate: c.Rate, Burst: c.Burst}
+		l := admission.Share(id, total, zones, s.view.ZoneShares[id], s.self.Zone)
+		s.limits[id] = l
+		if old := former[id]; l.Rate < old.Rate || l.Burst < old.Burst {
+			s.client.Withdraw(id)
+		}
+		table[id] = s.account(id, l)
+	}
+	for id := range former {
+		if _, ok := s.limits[id]; !ok {
+			s.client.Forget(id)
+			delete(s.demand, id)
+			delete(s.wanting, id)
+		}
+	}
+	s.table.Publish(&table)
+	if s.server != nil {
+		s.server.SetLimits(now, s.limits)
+	}
+}
+
+// account returns the entry of a customer for traffic goroutines. It keeps the wallet and the count of waiting requests.
+func (s *Service) account(id entity.CustomerID, l admission.Limits) *account {
+	if _, ok := s.demand[id]; !ok {
+		s.demand[id] = &demand{}
+	}
+	if table := s.table.Load(); table != nil {
+		if former, ok := (*table)[id]; ok {
+			return &account{wallet: former.wallet, limits: l, low: former.low, queued: former.queued}
+		}
+	}
+	return newAccount(s.client.Wallet(id), id, l)
+}
+
+// updateRole takes over or gives up the role of the token server. The lease is looked at each time, since it may have been
+// lost and regained, or may have ended while this process was paused.
+func (s *Service) updateRole(now time.Duration) {
+	var held service.HeldLease
+	if view := s.leases.Leases(); view != nil {
+		held = view.Held[service.TokenLease(shard)]
+	}
+	switch {
+	case now >= held.Until:
+		if s.server != nil {
+			telemetry.EventTokenServerLost.Log(s.logger)
+		}
+		s.server = nil
+	case s.server == nil || held.Term != s.holding.Term || held.Since != s.holding.Since:
+		s.server = admission.NewServer(now)
+		s.server.SetLimits(now, s.limits)
+		telemetry.EventTokenServerGained.Log(s.logger, zap.Uint64("term", uint64(held.Term)))
+	}
+	s.holding = held
+}
+
+// answer is the token server's side of a request, of this instance or another one.
+func (s *Service) answer(now time.Duration, r service.TokenRequest) service.TokenResponse {
+	s.updateRole(now)
+	if s.server == nil || r.Shard != shard {
+		return service.TokenResponse{Ask: s.holder()}
+	}
+	response := s.server.Lease(now, r)
+	for _, g := range response.Grants {
+		s.counters.granted.Inc(int64(g.Tokens))
+	}
+	return response
+}
+
+// holder returns the instance that is the token server as far as this instance knows.
+func (s *Service) holder() entity.InstanceID {
+	if view := s.leases.Leases(); view != nil {
+		return view.Holders[service.TokenLease(shard)]
+	}
+	return ""
+}
+
+// reply answers without waiting: a receiver that gave no room for the answer has gone.
+func reply[T any](to chan<- T, answer T) {
+	select {
+	case to <- answer:
+	default:
+	}
+}
+
+var _ service.Admitter = (*Service)(nil)
--- /dev/null
+++ b/internal/service/admission/calls.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/admission"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// retryCall is the pause before the token server is looked for again.
+const retryCall = 20 * time.Millisecond
+
+// calls is the state of the requests for tokens.
+type calls struct {
+	// asked is the instance that the last answer named instead of itself.
+	asked entity.InstanceID
+	// pausedUntil is the time before which no call is made, after a failed one.
+	pausedUntil time.Duration
+	failing     bool
+	// wakeAt is the time of the pending wake message, zero if there is none.
+	wakeAt time.Duration
+}
+
+type (
+	wake     struct{}
+	callDone struct {
+		sequence uint64
+		response service.TokenResponse
+		err      error
+	}
+)
+
+func newAccount(w *admission.Wallet, id entity.CustomerID, l admission.Limits) *account {
+	return &account{wallet: w, limits: l, low: lowTokens{id}, queued: &atomic.Int64{}}
+}
+
+// call asks the token server for what is needed now. One call is under way at a time.
+func (s *Service) call(turn *kernel.Turn) {
+	now := turn.Now()
+	if s.client.Busy() {
+		return
+	}
+	if now < s.calls.pausedUntil {
+		s.wakeAfter(turn, s.calls.pausedUntil-now)
+		return
+	}
+	needed := s.needed(turn)
+	if len(needed) == 0 {
+		return
+	}
+	s.counters.requests.Inc(1)
+	s.updateRole(now)
+	if s.server != nil {
+		r := s.client.Request(now, needed)
+		s.finishCall(turn, callDone{sequence: r.Sequence, response: s.answer(now, r)})
+		return
+	}
+	address, ok := s.serverAddress()
+	if !ok {
+		s.callFailed(turn, nil)
+		return
+	}
+	r := s.client.Request(now, needed)
+	leaser, timeout := s.leaser, s.settings.CallTimeout
+	turn.Go(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		response, err := leaser.LeaseTokens(ctx, address, r)
+		return callDone{sequence: r.Sequence, response: response, err: err}
+	})
+}
+
+// needed returns the customers that need tokens now, with the number of requests that wait for one.
+func (s *Service) needed(turn *kernel.Turn) map[entity.CustomerID]int {
+	needed := map[entity.CustomerID]int{}
+	for id, d := range s.wanting {
+		waiting := d.queue.live()
+		switch {
+		case waiting == 0 && !d.low:
+			delete(s.wanting, id)
+		case turn.Now() < d.retryAt:
+			s.wakeAfter(turn, d.retryAt-turn.Now())
+		default:
+			d.low = false
+			needed[id] = waiting
+		}
+	}
+	return needed
+}
+
+// serverAddress returns the peer address of the token server.
+func (s *Service) serverAddress() (string, bool) {
+	id := s.calls.asked
+	if id == "" || id == s.self.ID {
+		id = s.holder()
+	}
+	if s.view == nil || id == "" || id == s.self.ID {
+		return "", false
+	}
+	for _, m := range s.view.Members {
+		if m.ID == id {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+func (s *Service) finishCall(turn *kernel.Turn, m callDone) {
+	now := turn.Now()
+	if m.err != nil || !m.response.Holder {
+		s.client.Failed(m.sequence)
+		s.calls.asked = m.response.Ask
+		s.callFailed(turn, m.err)
+		return
+	}
+	if s.calls.failing {
+		s.calls.failing = false
+		telemetry.EventTokenServerReachable.Log(s.logger)
+	}
+	batches := s.client.Answer(now, m.sequence, m.response)
+	for _, g := range m.response.Grants {
+		d, ok := s.demand[g.Customer]
+		if !ok {
+			continue
+		}
+		d.retryAt = now + g.Retry
+		if g.Retry > 0 {
+			s.wakeAfter(turn, g.Retry)
+		}
+		if b, ok := batches[g.Customer]; ok {
+			d.queue.serve(now, b)
+			s.client.Publish(g.Customer)
+		}
+	}
+}
+
+// callFailed pauses before the next attempt.
+func (s *Service) callFailed(turn *kernel.Turn, err error) {
+	s.counters.failures.Inc(1)
+	if !s.calls.failing {
+		telemetry.EventTokenServerUnreachable.Log(s.logger, zap.Error(err))
+	}
+	s.calls.failing = true
+	s.calls.pausedUntil = turn.Now() + retryCall
+	s.wakeAfter(turn, retryCall)
+}
+
+// wakeAfter makes sure that the service is called again after the given time.
+func (s *Service) wakeAfter(turn *kernel.Turn, d time.Duration) {
+	at := turn.Now() + d
+	if s.calls.wakeAt != 0 && s.calls.wakeAt <= at {
+		return
+	}
+	s.calls.wakeAt = at
+	turn.After(d, wake{})
+}
