--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -84,7 +84,7 @@
 		Available: answer.Available, First: uint64(answer.First), Next: uint64(answer.Next),
 		FreshnessAgeUs: toMicros(answer.Age),
 	}
-	for _, r := range answer.Batch.Records {
+	for _, r := range answer.Records {
 		m.Records = append(m.Records, &pb.LogRecord{
 			Offset: uint64(r.Offset), Writer: r.Writer, Sequence: r.Sequence, Payload: r.Payload,
 		})
--- a/internal/service/gateway/respond.go
+++ b/internal/service/gateway/respond.go
@@ -97,9 +97,10 @@
 		return http.StatusTooManyRequests
 	case entity.ReasonDeadline:
 		return http.StatusGatewayTimeout
+	default:
+		if o.Kind == entity.OutcomeUnknown {
+			return http.StatusBadGateway
+		}
+		return http.StatusServiceUnavailable
 	}
-	if o.Kind == entity.OutcomeUnknown {
-		return http.StatusBadGateway
-	}
-	return http.StatusServiceUnavailable
 }
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -20,17 +20,22 @@
 // spanLogger exports spans as log lines, so that a deployment without a trace collector still has its traces.
 type spanLogger struct{ log *zap.Logger }
 
+// spanFields is the number of fields of every span.
+const spanFields = 5
+
 // ExportSpans implements sdktrace.SpanExporter.
 func (s spanLogger) ExportSpans(_ context.Context, spans []sdktrace.ReadOnlySpan) error {
 	for _, span := range spans {
-		fields := []zap.Field{
+		attributes := span.Attributes()
+		fields := make([]zap.Field, 0, spanFields+len(attributes))
+		fields = append(fields,
 			zap.String("span", span.Name()),
 			zap.Stringer("trace", span.SpanContext().TraceID()),
 			zap.Stringer("id", span.SpanContext().SpanID()),
 			zap.Stringer("parent", span.Parent().SpanID()),
 			zap.Duration("took", span.EndTime().Sub(span.StartTime())),
-		}
-		for _, attr := range span.Attributes() {
+		)
+		for _, attr := range attributes {
 			fields = append(fields, zap.String(string(attr.Key), attr.Value.String()))
 		}
 		EventSpan.Log(s.log, fields...)
