--- /dev/null
+++ b/internal/service/dispatch/history.go
@@ -0,0 +1,204 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pollenpier/pollenpier/internal/decide/outcome"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/decide/rendezvous"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+)
+
+// freshnessBound is the age that a fresh view of the log may have (see service.LeaseView.FreshUntil).
+const freshnessBound = 300 * time.Millisecond
+
+// removedMember is a member that left this instance's lease group. Records may have been held by it and another member
+// only, so it counts as a member without memory since then.
+type removedMember struct {
+	id entity.InstanceID
+	at time.Duration
+}
+
+// history is what this instance has seen of the former owners of a partition.
+type history struct {
+	// former are the members of the lease group that served the last other owner. They may hold records that this
+	// instance's own group does not have.
+	former []ownership.Member
+	// also are partitions whose requests may concern the same keys: the base partition of a hot key or the reverse.
+	also []entity.Partition
+	// revision changes when the memory has to be collected again although the epoch is the same.
+	revision int
+	// born is true if the partition was seen without any owner ever, at bornAt at the latest. No request can have run
+	// before that.
+	born   bool
+	bornAt time.Duration
+}
+
+// applyView notes the changes of owners and members between two views.
+func (s *Service) applyView(next *ownership.View, now time.Duration) {
+	st := &s.state
+	before := st.view
+	if before == nil {
+		before = &ownership.View{}
+	}
+	st.noteRemoved(s.peersIn(before), next, now, s.settings.MemoryWindow)
+	past := maps.Clone(st.past)
+	if past == nil {
+		past = map[outcome.PartitionKey]history{}
+	}
+	for name, view := range next.Services {
+		old := before.Services[name]
+		if old != nil && old.Version == view.Version && len(old.Owners) == len(view.Owners) {
+			continue
+		}
+		if old == nil {
+			old = &ownership.ServiceView{}
+		}
+		st.noteOwners(past, name, before, old, view)
+		st.noteHotKeys(past, name, before, old, view)
+	}
+	st.noteGroups(past, before, next)
+	st.past = past
+	st.view = next
+	st.viewAt = -1
+	if leases := s.leases.Leases(); leases != nil && now < leases.FreshUntil {
+		st.viewAt = max(now-freshnessBound, s.started)
+	}
+}
+
+func (st *controlState) noteRemoved(peers []ownership.Member, next *ownership.View, now, window time.Duration) {
+	present := make(map[entity.InstanceID]bool, len(next.Members))
+	for _, m := range next.Members {
+		present[m.ID] = true
+	}
+	var removed []removedMember
+	for _, r := range st.removed {
+		if now-r.at < window {
+			removed = append(removed, r)
+		}
+	}
+	for _, m := range peers {
+		if !present[m.ID] {
+			removed = append(removed, removedMember{m.ID, now})
+		}
+	}
+	st.removed = removed
+}
+
+// noteOwners records new owners. If the old view was the end of the log, a partition without an owner in it never had one;
+// otherwise it shows only that there was none at that point of the replay.
+func (st *controlState) noteOwners(past map[outcome.PartitionKey]history, name entity.ServiceName,
+	before *ownership.View, old, next *ownership.ServiceView) {
+	fresh := st.view != nil && st.viewAt >= 0
+	for i, owner := range next.Owners {
+		key := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
+		if i >= len(old.Owners) || neverOwned(old.Owners[i]) {
+			if fresh && owner.Backend != "" && uint32(i) < next.Count {
+				past[key] = history{born: true, bornAt: st.viewAt}
+			}
+			continue
+		}
+		former := old.Owners[i].Backend
+		if former == "" || former == owner.Backend {
+			continue
+		}
+		h := past[key]
+		h.former = st.groupOf(before, former)
+		past[key] = h
+	}
+}
+
+func neverOwned(o ownership.Owner) bool { return o.Backend == "" && o.Epoch == 0 && !o.Moving() }
+
+// noteHotKeys links virtual partitions with the base partitions of their keys.
+func (st *controlState) noteHotKeys(past map[outcome.PartitionKey]history, name entity.ServiceName,
+	before *ownership.View, old, next *ownership.ServiceView) {
+	for hash, virtual := range next.Hot {
+		base := entity.PartitionOf(hash, next.Count)
+		key := outcome.PartitionKey{Service: name, Partition: virtual}
+		h := past[key]
+		if len(h.also) == 1 && h.also[0] == base {
+			continue
+		}
+		h = past[outcome.PartitionKey{Service: name, Partition: base}]
+		if int(base) < len(old.Owners) {
+			h.former = st.groupOf(before, old.Owners[base].Backend)
+		}
+		h.also = []entity.Partition{base}
+		h.revision++
+		past[key] = h
+	}
+	for hash, virtual := range old.Hot {
+		if now, still := next.Hot[hash]; (still && now == virtual) || int(virtual) >= len(old.Owners) {
+			continue
+		}
+		key := outcome.PartitionKey{Service: name, Partition: entity.PartitionOf(hash, next.Count)}
+		h := past[key]
+		h.former = st.groupOf(before, old.Owners[virtual].Backend)
+		h.also = []entity.Partition{virtual}
+		h.revision++
+		past[key] = h
+	}
+}
+
+// noteGroups records that back ends are served by another lease group than before, because groups were added or removed.
+func (st *controlState) noteGroups(past map[outcome.PartitionKey]history, before, next *ownership.View) {
+	if slices.Equal(groupsOf(before), groupsOf(next)) {
+		return
+	}
+	for name, view := range next.Services {
+		for i, owner := range view.Owners {
+			if owner.Backend == "" {
+				continue
+			}
+			was, hadGroup := st.groupKey(before, owner.Backend)
+			is, _ := st.groupKey(next, owner.Backend)
+			if !hadGroup || was == is {
+				continue
+			}
+			key := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
+			h := past[key]
+			h.former = before.Group(was)
+			h.revision++
+			past[key] = h
+		}
+	}
+}
+
+// groupsOf returns the lease groups in a fixed order.
+func groupsOf(v *ownership.View) []ownership.GroupKey {
+	keys := make([]ownership.GroupKey, 0, len(v.Members))
+	for _, m := range v.Members {
+		keys = append(keys, ownership.GroupKey{Zone: m.Zone, Group: m.Group})
+	}
+	slices.SortFunc(keys, func(a, b ownership.GroupKey) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Group, b.Group))
+	})
+	return slices.Compact(keys)
+}
+
+// groupKey returns the lease group that serves a back end.
+func (st *controlState) groupKey(v *ownership.View, id entity.BackendID) (ownership.GroupKey, bool) {
+	zone := st.backends[id].zone
+	var groups []uint32
+	for _, key := range groupsOf(v) {
+		if key.Zone == zone {
+			groups = append(groups, key.Group)
+		}
+	}
+	group, ok := rendezvous.Group(string(service.BackendLease(id)), groups)
+	return ownership.GroupKey{Zone: zone, Group: group}, ok
+}
+
+// groupOf returns the members of the lease group that serves a back end.
+func (st *controlState) groupOf(v *ownership.View, id entity.BackendID) []ownership.Member {
+	key, ok := st.groupKey(v, id)
+	if !ok {
+		return nil
+	}
+	return v.Group(key)
+}
