--- a/internal/service/dispatch/dispatch.go
+++ b/internal/service/dispatch/dispatch.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/pollenpier/pollenpier/internal/decide/outcome"
 	"github.com/pollenpier/pollenpier/internal/entity"
@@ -15,6 +17,8 @@
 )
 
 const (
+	// tracerName names the spans of this service.
+	tracerName = "pollenpier/dispatch"
 	// maxAttempts bounds the sends of one idempotent request.
 	maxAttempts = 3
 	// maxArrivals bounds the sends that may have reached the back end. A request whose connection broke may be the cause,
@@ -23,10 +27,18 @@
 )
 
 // Dispatch runs a request on its back end. The caller's goroutine waits for the slot and for the head of the answer; the
-// slot is held until the answer's body ends or is closed. The deadline of the request ends both.
+// slot is held until the answer's body ends or is closed. The deadline of the request ends both. The trace span ends with
+// the head of the answer.
 func (s *Service) Dispatch(ctx context.Context, req *service.Request) service.Response {
 	s.meters.requests.Inc(1)
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "dispatch")
 	resp := s.dispatch(ctx, req)
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("backend", string(req.Backend)),
+			attribute.String("outcome", resp.Outcome.String()))
+	}
+	span.End()
 	if resp.Outcome.Kind == entity.OutcomeAnswered {
 		return resp // counted when its body has ended
 	}
--- a/internal/service/dispatch/history.go
+++ b/internal/service/dispatch/history.go
@@ -171,7 +171,7 @@
 
 // groupsOf returns the lease groups in a fixed order.
 func groupsOf(v *ownership.View) []ownership.GroupKey {
-	var keys []ownership.GroupKey
+	keys := make([]ownership.GroupKey, 0, len(v.Members))
 	for _, m := range v.Members {
 		keys = append(keys, ownership.GroupKey{Zone: m.Zone, Group: m.Group})
 	}
--- a/internal/service/dispatch/outcome_test.go
+++ b/internal/service/dispatch/outcome_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pollenpier/pollenpier/internal/backend"
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/service/dispatch"
@@ -330,3 +331,57 @@
 	require.Equal(t, entity.Answered(), receive(t, done))
 	receive(t, stopped)
 }
+
+// Guards against a hot key with two owners: its virtual partition is released only when the requests that were sent under
+// its base partition have ended as well.
+func TestDrainOfAHotKeyWaitsForItsBasePartition(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 2)
+	arrived, release := n.blocking()
+	done := make(chan entity.Outcome, 1)
+	go func() {
+		o, _ := n.do(n.get("hot"))
+		done <- o
+	}()
+	receive(t, arrived)
+	view := testView(testBackend, testEpoch, []entity.InstanceID{"i1", "i2", "i3"})
+	orders := view.Services[testService]
+	orders.Hot = map[entity.KeyHash]entity.Partition{entity.HashKey("hot"): 1}
+	orders.Owners = append(orders.Owners, ownership.Owner{Backend: testBackend, Epoch: testEpoch + 1, To: "b2"})
+	orders.Version++
+	n.deliver(service.OwnershipChanged{View: view})
+	virtual := []service.PartitionEpoch{{Service: testService, Partition: 1, Epoch: testEpoch + 1}}
+	n.deliver(service.DrainPartitions{Backend: testBackend, Partitions: virtual})
+	n.deliver(service.DrainPartitions{Backend: "other"})
+	require.Equal(t, entity.BackendID("other"), n.await(n.session).(service.PartitionsDrained).Backend)
+	close(release)
+	require.Equal(t, entity.Answered(), receive(t, done))
+	require.Equal(t, virtual, n.await(n.session).(service.PartitionsDrained).Partitions)
+}
+
+// Guards against orders that no caller can place after the first start, because their partition's memory is young: a
+// partition that was seen without any owner ever cannot have run anything before.
+func TestFirstOwnerNeedsNoAge(t *testing.T) {
+	net := newNetwork()
+	for _, id := range []entity.InstanceID{"i1", "i2", "i3"} {
+		net.node(t, id, nil)
+	}
+	time.Sleep(350 * time.Millisecond) // longer than the age that a fresh view may have
+	for _, n := range net.nodes {
+		n.setUp(1, "i1", "i2", "i3")
+	}
+	n := net.nodes["i1"]
+	n.lead(1)
+	first := n.order("a")
+	first.Age = -1
+	o, _ := n.do(first)
+	require.Equal(t, entity.Answered(), o)
+	net.cut("i1")
+	next := net.nodes["i2"]
+	next.lead(2)
+	repeat := next.order("a")
+	repeat.Age = -1
+	o, _ = next.do(repeat)
+	require.NotEqual(t, entity.OutcomeNotRun, o.Kind)
+	require.Zero(t, next.backends.sends.Load())
+}
--- a/internal/service/dispatch/send.go
+++ b/internal/service/dispatch/send.go
@@ -151,7 +151,7 @@
 	if f.recorded {
 		b.kept = &outcome.Answer{Status: answer.Status, Header: answer.Header.Clone()}
 	}
-	if answer.Length == 0 || answer.Body == nil {
+	if bodiless(f.req.Method, answer) {
 		b.remaining = 0
 		b.finish(0)
 	}
@@ -164,6 +164,12 @@
 	}
 }
 
+// bodiless reports whether the answer is complete without a body, whatever length its head states (RFC 9110, 6.4.1).
+func bodiless(method string, a *backend.Answer) bool {
+	return a.Length == 0 || a.Body == nil || method == http.MethodHead ||
+		a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+}
+
 func headerOf(a *backend.Answer) http.Header {
 	if a.Header == nil {
 		return http.Header{}
