--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/service/admin"
 	"github.com/pollenpier/pollenpier/internal/service/gateway"
@@ -31,14 +32,34 @@
 	log     *zap.Logger
 }
 
+// options are what tests replace.
+type options struct {
+	clock kernel.Clock
+	dial  network.DialFunc
+}
+
+// Option replaces a part of the instance's surroundings.
+type Option func(*options)
+
+// WithDial sets how the instance opens connections to platform, back ends and other instances.
+func WithDial(dial network.DialFunc) Option { return func(o *options) { o.dial = dial } }
+
+// WithClock sets the monotonic clock.
+func WithClock(clock kernel.Clock) Option { return func(o *options) { o.clock = clock } }
+
 // New builds an instance from checked settings. It opens the peer listener, since the instance's own address must be known
 // before anything starts, and starts nothing else.
-func New(s *settings.Settings, log *zap.Logger) (*Instance, error) {
+func New(s *settings.Settings, log *zap.Logger, opts ...Option) (*Instance, error) {
 	i := &Instance{log: log}
+	o := options{clock: kernel.NewSystemClock()}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	i.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(s, log),
-		fx.Provide(newClock, newPeerSocket, newSelf, metrics.NewRegistry, newKernel),
+		fx.Provide(func() kernel.Clock { return o.clock }, func() network.DialFunc { return o.dial }),
+		fx.Provide(newPeerSocket, newSelf, metrics.NewRegistry, newKernel),
 		services,
 		fx.Populate(&i.kernel, &i.gateway, &i.admin, &i.self),
 		fx.Invoke(runKernel),
@@ -117,8 +138,6 @@
 	lc.Append(fx.Hook{OnStart: k.Start, OnStop: k.Stop})
 }
 
-func newClock() kernel.Clock { return kernel.NewSystemClock() }
-
 // newPeerSocket opens the peer listener.
 func newPeerSocket(s *settings.Settings) (net.Listener, error) {
 	var config net.ListenConfig
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -8,7 +8,9 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/pollenpier/pollenpier/internal/backend"
 	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/platform"
 	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/service/admin"
@@ -53,20 +55,23 @@
 // asService adds a constructor's result to the group of services.
 var asService = []fx.Annotation{fx.As(new(kernel.Service)), fx.ResultTags(`group:"services"`)}
 
-func newPlatform(self service.Self, s *settings.Settings, log *zap.Logger, r metrics.Registry) *platformservice.Service {
+func newPlatform(
+	self service.Self, s *settings.Settings, dial network.DialFunc, log *zap.Logger, r metrics.Registry,
+) *platformservice.Service {
 	return platformservice.New(self, platformservice.Settings{
 		ClientSettings: platform.ClientSettings{
 			Addresses:     s.Platform.Addresses,
 			AppendTimeout: s.Platform.AppendTimeout,
 			ReadTimeout:   s.Platform.ReadTimeout,
 			DialTimeout:   s.Platform.DialTimeout,
+			Dial:          dial,
 		},
 		RegisterInstance: s.RegisterInstance,
 	}, log, r)
 }
 
-func newBackends(log *zap.Logger, r metrics.Registry) *backends.Service {
-	return backends.New(backends.Settings{}, log, r)
+func newBackends(dial network.DialFunc, log *zap.Logger, r metrics.Registry) *backends.Service {
+	return backends.New(backends.Settings{ClientSettings: backend.ClientSettings{Dial: dial}}, log, r)
 }
 
 func newPeerServer(s *settings.Settings, socket net.Listener, log *zap.Logger, clock kernel.Clock) *peerserver.PeerServer {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/network"
 )
 
 // Defaults of ClientSettings.
@@ -28,6 +28,8 @@
 type ClientSettings struct {
 	// DialTimeout bounds the time to connect. Default 250ms.
 	DialTimeout time.Duration
+	// Dial opens connections. Default the operating system's network.
+	Dial network.DialFunc
 	// Connections limits the connections to a back end without a limit of its own. Default 130.
 	Connections int
 }
@@ -128,7 +130,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: c.settings.DialTimeout}).DialContext,
+		DialContext:         c.settings.Dial.WithTimeout(c.settings.DialTimeout),
 		Protocols:           protocols,
 		DisableCompression:  true,
 		MaxConnsPerHost:     connections,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,6 +10,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 
+	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/peer/pb"
 )
 
@@ -30,17 +30,17 @@
 
 // pool keeps connections to peers by address.
 type pool struct {
-	conns  *drpcpool.Pool[string, *drpcconn.Conn]
-	dialer net.Dialer
+	conns *drpcpool.Pool[string, *drpcconn.Conn]
+	open  network.DialFunc
 }
 
-func newPool() *pool {
+func newPool(dial network.DialFunc) *pool {
 	return &pool{
 		conns: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
 			Expiration:  idleTimeout,
 			KeyCapacity: connectionsPerPeer,
 		}),
-		dialer: net.Dialer{Timeout: dialTimeout},
+		open: dial.WithTimeout(dialTimeout),
 	}
 }
 
@@ -50,7 +50,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.open(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Join(ErrDial, err)
 	}
@@ -76,8 +76,8 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient(clock Clock) *Client {
-	return &Client{pool: newPool(), clock: clock}
+func NewClient(clock Clock, dial network.DialFunc) *Client {
+	return &Client{pool: newPool(dial), clock: clock}
 }
 
 // Close closes all idle connections.
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -48,7 +48,7 @@
 	done := make(chan error, 1)
 	server := peer.NewServer(handler{Dispatcher: dispatch}, clock)
 	go func() { done <- server.Serve(ctx, listener, func(error) {}) }()
-	client := peer.NewClient(clock)
+	client := peer.NewClient(clock, nil)
 	t.Cleanup(func() {
 		require.NoError(t, client.Close())
 		cancel()
@@ -133,7 +133,7 @@
 		_, _ = conn.Read(make([]byte, 1))
 		_ = conn.Close()
 	}()
-	client := peer.NewClient(kernel.NewSystemClock())
+	client := peer.NewClient(kernel.NewSystemClock(), nil)
 	defer func() { require.NoError(t, client.Close()) }()
 	require.Equal(t, entity.OutcomeUnknown, client.Forward(context.Background(), address, request("b")).Outcome.Kind)
 	<-accepted
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/platform/wire"
 )
 
@@ -39,6 +40,8 @@
 	ReadTimeout time.Duration
 	// DialTimeout bounds the time to connect to one address. Default 500ms.
 	DialTimeout time.Duration
+	// Dial opens connections. Default the operating system's network.
+	Dial network.DialFunc
 }
 
 // ErrNoAddress means that the settings name no platform address.
@@ -73,7 +76,7 @@
 	setDefault(&s.ReadTimeout, DefaultReadTimeout)
 	setDefault(&s.DialTimeout, DefaultDialTimeout)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
+		DialContext:         s.Dial.WithTimeout(s.DialTimeout),
 		MaxIdleConnsPerHost: 8, // two long polls, an append in each stream, the list, and room for bursts
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/service/peers/peers.go
+++ b/internal/service/peers/peers.go
@@ -5,6 +5,7 @@
 	"context"
 
 	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/peer"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
@@ -24,7 +25,9 @@
 )
 
 // New returns the service.
-func New(clock kernel.Clock) *Peers { return &Peers{Client: peer.NewClient(clock)} }
+func New(clock kernel.Clock, dial network.DialFunc) *Peers {
+	return &Peers{Client: peer.NewClient(clock, dial)}
+}
 
 // Name implements kernel.Service.
 func (p *Peers) Name() kernel.Name { return service.Peers }
