--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -244,6 +244,14 @@
 	return call(address, http.MethodPost, "/order/book", key, map[string]string{"Idempotency-Key": idempotencyKey})
 }
 
+// bookNew is book by a caller that states that it sends the request for the first time. Instances that are younger than the
+// idempotency window need that to know that it has not run before.
+func bookNew(address, key, idempotencyKey string) result {
+	return call(address, http.MethodPost, "/order/book", key, map[string]string{
+		"Idempotency-Key": idempotencyKey, "Pollenpier-Age-Ms": "0",
+	})
+}
+
 // waitServed waits until every instance serves a spread of keys.
 func (s *site) waitServed(keys []string) {
 	s.t.Helper()
