Refuse authority to a zone while the own zone's vote for its loss stands

Cause: a delegate that heard a silent zone again granted it authority before the withdrawal of its vote was in the log. Another zone's vote could then declare the zone lost although it had just regained its authority.

Change: lease refuses the zone from the message ZoneVote, which control sends before it appends the vote, or from the vote in the replayed state, until the vote has ended.

Ruled out: to withdraw the vote only in memory, because it may be in the log already. In an outage of the platform just after a vote, the zone therefore gets no authority from this voter until the log can be read again.

--- a/internal/service/lease/authority.go
+++ b/internal/service/lease/authority.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// voteForZone answers another zone's claims. A zone that is declared lost, or that has not replayed its loss and return,
-// gets no vote: it would act on owners of the time before its loss.
+// voteForZone answers another zone's claims. A zone that is declared lost, that the own zone has voted to be lost, or that has
+// not replayed its loss and return, gets no vote: it would act on owners of the time before its loss.
 func (s *Service) voteForZone(now time.Duration, req service.HeartbeatRequest, r *service.HeartbeatResponse) {
 	s.zones.Holder.Heard(now, lease.Member(req.Zone), req.Leaving)
-	if s.declaredLost(req.Zone) || req.ControlOffset < s.knownLoss[req.Zone] {
+	if s.declaredLost(req.Zone) || s.votedLost(req.Zone) || req.ControlOffset < s.knownLoss[req.Zone] {
 		return
 	}
 	s.noteSeizures(req)
--- a/internal/service/lease/roster.go
+++ b/internal/service/lease/roster.go
@@ -163,6 +163,19 @@
 	return s.config != nil && !s.zoneRoster.Contains(lease.Member(zone))
 }
 
+// votedLost reports whether a vote of the own zone that the other is lost stands in the log or is on its way there. Another
+// zone's vote can complete the loss at any moment.
+func (s *Service) votedLost(zone entity.Zone) bool {
+	if s.votes[zone] {
+		return true
+	}
+	if s.view == nil {
+		return false
+	}
+	_, voted := s.view.LostVotes[zone][s.self.Zone]
+	return voted
+}
+
 // declaredLost reports whether the log or the operators say that the zone is lost.
 func (s *Service) declaredLost(zone entity.Zone) bool {
 	if s.confirmedLost(zone) {
--- a/internal/service/lease/service.go
+++ b/internal/service/lease/service.go
@@ -80,6 +80,9 @@
 	// recorded before it.
 	knownLoss map[entity.Zone]entity.Offset
 
+	// votes are the zones that this instance has voted to be lost, from before the vote is appended to its end.
+	votes map[entity.Zone]bool
+
 	leaving  bool
 	stopping *stopping
 	changed  bool // a lease was gained or lost in this turn
@@ -106,7 +109,7 @@
 	return &Service{
 		self: self, settings: settings, log: log, evidence: newEvidence(),
 		peers: map[entity.InstanceID]*peer{}, contacts: map[entity.Zone]*contact{},
-		knownLoss: map[entity.Zone]entity.Offset{},
+		knownLoss: map[entity.Zone]entity.Offset{}, votes: map[entity.Zone]bool{},
 		counters: counters{
 			sent: counter("heartbeats.sent"), answered: counter("heartbeats.answered"),
 			failed: counter("heartbeats.failed"), skipped: counter("heartbeats.skipped"),
@@ -171,6 +174,8 @@
 		s.ownershipChanged(t, m.View)
 	case service.ConfigChanged:
 		s.configChanged(t, m)
+	case service.ZoneVote:
+		s.votes[m.Zone] = m.Stand
 	case service.HandOverLeases:
 		s.applyGroup(t, s.group.HandOver(t.Now(), names(m.Names)))
 	case service.BeginLeaving:
--- a/internal/service/lease/service_test.go
+++ b/internal/service/lease/service_test.go
@@ -155,6 +155,22 @@
 	require.Len(t, c.primaries(), 3)
 }
 
+// Guards against a zone that gets its authority back from a zone whose vote for its loss may still be counted.
+func TestZoneVotedLostGetsNoAuthority(t *testing.T) {
+	c := newCluster(t, []string{"a", "b", "c"}, 1, 1)
+	c.run(4*time.Second, nil)
+	require.Same(t, c.nodes[0], c.holder(service.AuthorityLease("a")))
+	voted := *c.view
+	voted.LostVotes = map[entity.Zone]map[entity.Zone]entity.Offset{"a": {"c": 105}}
+	c.send(c.nodes[1], service.ZoneVote{Zone: "a", Stand: true})
+	c.send(c.nodes[2], service.OwnershipChanged{View: &voted})
+	c.run(2*time.Second, nil)
+	require.Nil(t, c.holder(service.AuthorityLease("a")))
+	c.send(c.nodes[1], service.ZoneVote{Zone: "a", Stand: false})
+	c.run(2*time.Second, nil)
+	require.Same(t, c.nodes[0], c.holder(service.AuthorityLease("a")))
+}
+
 // Guards against a planned stop that leaves its back ends to lapse.
 func TestPlannedStopHandsOver(t *testing.T) {
 	c := oneZone(t)
