Let zones gain rate only after others have lost it, and publish from programs

While a change of the list of zones spreads, zones with the former and the new list could together admit more than a customer's rate. A zone that gains by the change now keeps its former part for 61 s, by when an instance without the change refuses open routes; one that loses does so at once. A process that starts during a change knows no former list: that remains, and needs recorded shares.

--- a/internal/configlog/publish.go
+++ b/internal/configlog/publish.go
@@ -70,11 +70,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if _, ok := ctx.Deadline(); !ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, defaultPublishTimeout)
-		defer cancel()
-	}
+	ctx, cancel := bounded(ctx)
+	defer cancel()
 	p := &publication{
 		log: log, base: base, config: config, author: author,
 		writer: "operator/" + author, sequence: sequence, replay: NewReplay(),
@@ -82,6 +79,30 @@
 	return p.run(ctx)
 }
 
+// Current returns the configuration in force and its version. It retries while the platform does not answer, until the
+// context ends.
+func Current(ctx context.Context, log platform.Log) (State, error) {
+	ctx, cancel := bounded(ctx)
+	defer cancel()
+	p := &publication{log: log, replay: NewReplay()}
+	if err := p.readToTail(ctx); err != nil {
+		return State{}, err
+	}
+	state, known := p.replay.State()
+	if !known {
+		return State{}, ErrHistoryLost
+	}
+	return state, nil
+}
+
+// bounded gives a context without a deadline the default one.
+func bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, defaultPublishTimeout)
+}
+
 // contentSequence identifies a configuration and its base.
 func contentSequence(base uint64, config *operator.Config) (uint64, error) {
 	data, err := json.Marshal(config)
--- a/internal/service/admission/admission.go
+++ b/internal/service/admission/admission.go
@@ -36,6 +36,7 @@
 	config *operator.Config
 	view   *ownership.View
 	limits map[entity.CustomerID]admission.Limits
+	zones  zoneLists
 	client *admission.Client
 	demand map[entity.CustomerID]*demand
 	// wanting is the part of demand that may need tokens.
@@ -119,10 +120,10 @@
 		}
 	case service.ConfigChanged:
 		s.config = m.Config
-		s.changeLimits(turn.Now())
+		s.changeLimits(turn)
 	case service.OwnershipChanged:
 		s.view = m.View
-		s.changeLimits(turn.Now())
+		s.changeLimits(turn)
 	case service.LeaseChanged:
 		s.updateRole(turn.Now())
 	case service.TokensQuery:
@@ -131,26 +132,24 @@
 		s.finishCall(turn, m)
 	case wake:
 		s.calls.wakeAt = 0
+	case zonesSettled:
+		s.changeLimits(turn)
 	}
 	s.call(turn)
 }
 
 // changeLimits computes the limits of this zone from the configuration and the shares of the zones.
-func (s *Service) changeLimits(now time.Duration) {
+func (s *Service) changeLimits(turn *kernel.Turn) {
 	if s.config == nil || s.view == nil {
 		return
 	}
-	zones := make([]entity.Zone, len(s.config.Zones))
-	for i, z := range s.config.Zones {
-		zones[i] = entity.Zone(z.Name)
-	}
+	s.noteZones(turn)
 	former := s.limits
 	s.limits = make(map[entity.CustomerID]admission.Limits, len(s.config.Customers))
 	table := make(accounts, len(s.config.Customers))
 	for _, c := range s.config.Customers {
 		id := entity.CustomerID(c.Name)
-		total := admission.Limits{Rate: c.Rate, Burst: c.Burst}
-		l := admission.Share(id, total, zones, s.view.ZoneShares[id], s.self.Zone)
+		l := s.share(id, admission.Limits{Rate: c.Rate, Burst: c.Burst})
 		s.limits[id] = l
 		if old := former[id]; l.Rate < old.Rate || l.Burst < old.Burst {
 			s.client.Withdraw(id)
@@ -166,7 +165,7 @@
 	}
 	s.table.Publish(&table)
 	if s.server != nil {
-		s.server.SetLimits(now, s.limits)
+		s.server.SetLimits(turn.Now(), s.limits)
 	}
 }
 
--- a/internal/service/admission/admission_test.go
+++ b/internal/service/admission/admission_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	decide "github.com/pollenpier/pollenpier/internal/decide/admission"
 	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
@@ -37,7 +38,7 @@
 
 // cluster is a zone whose lease of the token shard is given by hand.
 type cluster struct {
-	clock kernel.Clock
+	clock kernel.Clock // of all nodes
 	nodes []*node
 	mu    sync.Mutex
 	cut   bool
@@ -85,7 +86,12 @@
 
 func newCluster(t *testing.T, count int, settings admission.Settings) *cluster {
 	t.Helper()
-	c := &cluster{clock: kernel.NewSystemClock()}
+	return newClusterWithClock(t, kernel.NewSystemClock(), count, settings)
+}
+
+func newClusterWithClock(t *testing.T, clock kernel.Clock, count int, settings admission.Settings) *cluster {
+	t.Helper()
+	c := &cluster{clock: clock}
 	for i := range count {
 		n := &node{part: part{service.Peers}, cluster: c, id: entity.InstanceID(fmt.Sprint("i", i)), leases: &leases{part: part{service.Lease}}}
 		self := service.Self{ID: n.id, Zone: zone, Address: string(n.id)}
@@ -239,3 +245,38 @@
 		require.Equal(t, entity.OutcomeNotRun, n.admission.Admit(context.Background(), "c").Outcome.Kind)
 	}
 }
+
+// Guards against zones that gain from a change of the list of zones while another zone still goes by the former list.
+func TestZonesGainOnlyAfterOthersHaveLost(t *testing.T) {
+	clock := kernel.NewManualClock()
+	c := newClusterWithClock(t, clock, 1, admission.Settings{})
+	zones := func(names ...string) {
+		cfg, err := operator.New().Zone(names...).Customer("c", 3000, 300).Build()
+		require.NoError(t, err)
+		c.send(t, service.ConfigChanged{Config: cfg, Version: 1})
+	}
+	sequence := uint64(0)
+	lease := func() uint32 {
+		sequence++
+		answer := make(chan service.TokenResponse, 1)
+		r := service.TokenRequest{Instance: "other", Sequence: sequence, Demands: []decide.Demand{{Customer: "c", Want: 1000}}}
+		c.send(t, service.TokensQuery{Request: r, Reply: answer})
+		return (<-answer).Grants[0].Tokens
+	}
+	// full returns the burst of the zone: all tokens of a bucket that has had the time to fill. The first request makes sure
+	// that all earlier messages are handled before the time moves.
+	full := func() uint32 {
+		lease()
+		clock.Advance(time.Second)
+		return lease()
+	}
+	zones("z", "y", "x")
+	c.giveLease(t, 0, 1)
+	require.Equal(t, uint32(100), full())
+	zones("z", "y")
+	require.Equal(t, uint32(100), full())
+	clock.Advance(61 * time.Second)
+	require.Equal(t, uint32(150), full())
+	zones("z", "y", "x", "w")
+	require.Equal(t, uint32(75), full())
+}
