Require the memory to cover the first attempts of orders too

Cause: a request that stated an age of zero ran whatever the memory knew. A first attempt that was held up on the way can arrive after a repeat that ran at a primary whose memory was lost.

Ruled out: keeping the exception for zero, which makes orders available one second sooner after a takeover with an incomplete memory.

Change: ages of zero get the same margin of one second as others. Tests for sends without a copy, max_run and unread answers; a test clock makes processes old at once.

Conclusion: after a takeover with an incomplete memory, orders are answered unknown for up to one second longer.

--- a/internal/decide/outcome/memory.go
+++ b/internal/decide/outcome/memory.go
@@ -159,15 +159,12 @@
 	}
 }
 
-// ageMargin is added to stated ages for the time that requests spend on the way between the caller and this memory.
+// ageMargin is added to stated ages for the time that a request spends on the way between the caller and this memory. It
+// also applies to an age of zero: a first attempt that was held up on the way can arrive after a later one that ran.
 const ageMargin = time.Second
 
-// covers reports whether the memory would know the request if it had been received before. An age of exactly zero states
-// that there was no earlier attempt.
+// covers reports whether the memory would know the request if another attempt of it had arrived before.
 func (m *Memory) covers(r *Request, now time.Duration) bool {
-	if r.Age == 0 {
-		return true
-	}
 	h, ok := m.since[PartitionKey{r.Key.Service, r.Partition}]
 	if !ok {
 		return false
--- a/internal/service/dispatch/harness_test.go
+++ b/internal/service/dispatch/harness_test.go
@@ -90,6 +90,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	down  map[string]bool
+	young bool // new nodes have just started
 }
 
 var errDown = errors.New("peer down")
@@ -136,11 +137,26 @@
 	return records, age, nil
 }
 
+// agedClock is a clock that can be moved forward, so that a process and its memory are old at once.
+type agedClock struct {
+	*kernel.SystemClock
+	ahead atomic.Int64
+}
+
+// Now returns the system's time plus what the clock was moved forward by.
+func (c *agedClock) Now() time.Duration { return c.SystemClock.Now() + time.Duration(c.ahead.Load()) }
+
+const (
+	processAge = time.Hour
+	farAway    = 100 * time.Hour
+)
+
 // node is one instance with fakes around dispatch.
 type node struct {
 	t        testing.TB
 	id       entity.InstanceID
 	kernel   *kernel.Kernel
+	clock    *agedClock
 	service  *dispatch.Service
 	leases   *leases
 	backends *backends
@@ -164,16 +180,20 @@
 		backends: &backends{part: newPart(service.Backends), do: answerOK},
 		session:  newPart(service.Session),
 		control:  newPart(service.Control),
+		clock:    &agedClock{SystemClock: kernel.NewSystemClock()},
 		registry: metrics.NewRegistry(),
 	}
 	self := service.Self{ID: id, Zone: "z1", Address: string(id)}
 	nd.service = dispatch.New(self, settings, zap.NewNop(), nd.registry)
 	var err error
-	nd.kernel, err = kernel.New(kernel.NewSystemClock(), []kernel.Service{
+	nd.kernel, err = kernel.New(nd.clock, []kernel.Service{
 		nd.service, nd.leases, nd.backends, nd.session, nd.control, &peers{newPart(service.Peers), n},
 	})
 	require.NoError(t, err)
 	require.NoError(t, nd.kernel.Start(context.Background()))
+	if !n.young {
+		nd.clock.ahead.Store(int64(processAge))
+	}
 	n.mu.Lock()
 	n.nodes[string(id)] = nd
 	n.mu.Unlock()
@@ -197,7 +217,7 @@
 
 // setUp gives the node a configuration with one back end, and a view in which the partitions first had no owner.
 func (n *node) setUp(slots int, members ...entity.InstanceID) {
-	n.leases.view.Store(&service.LeaseView{FreshUntil: time.Hour})
+	n.leases.view.Store(&service.LeaseView{FreshUntil: farAway})
 	n.deliver(service.ConfigChanged{Config: testConfig(slots), Version: 1})
 	n.deliver(service.OwnershipChanged{View: testView("", 0, members)})
 	n.deliver(service.OwnershipChanged{View: testView(testBackend, testEpoch, members)})
@@ -206,8 +226,8 @@
 // lead makes the node the primary.
 func (n *node) lead(term entity.Term) {
 	n.leases.view.Store(&service.LeaseView{
-		Held:       map[service.LeaseName]service.HeldLease{service.BackendLease(testBackend): {Term: term, Until: time.Hour}},
-		FreshUntil: time.Hour,
+		Held:       map[service.LeaseName]service.HeldLease{service.BackendLease(testBackend): {Term: term, Until: farAway}},
+		FreshUntil: farAway,
 	})
 	n.deliver(service.LeaseChanged{View: n.leases.view.Load()})
 	// The messages are handled in order, so the answer to this drain shows that the lease change was handled.
@@ -219,7 +239,7 @@
 func (n *node) yield(to entity.InstanceID) {
 	n.leases.view.Store(&service.LeaseView{
 		Holders:    map[service.LeaseName]entity.InstanceID{service.BackendLease(testBackend): to},
-		FreshUntil: time.Hour,
+		FreshUntil: farAway,
 	})
 	n.deliver(service.LeaseChanged{View: n.leases.view.Load()})
 }
--- a/internal/service/dispatch/outcome_test.go
+++ b/internal/service/dispatch/outcome_test.go
@@ -97,14 +97,65 @@
 	old.Age = -1
 	o, _ := n.do(old)
 	require.Equal(t, entity.Unknown(entity.ReasonMemoryIncomplete, o.Detail), o)
-	// With both other members gone, no copy can be made either.
-	young := n.order("b")
-	young.Age = 0
+	first := n.order("b")
+	o, _ = n.do(first)
+	require.Equal(t, entity.Unknown(entity.ReasonMemoryIncomplete, o.Detail), o)
+	n.clock.ahead.Add(int64(time.Minute))
+	young := n.order("c")
+	young.Age = 50 * time.Second
 	o, _ = n.do(young)
-	require.Equal(t, entity.NotRun(entity.ReasonUnreachable, o.Detail), o)
+	require.Equal(t, entity.NotRun(entity.ReasonUnreachable, o.Detail), o, "covered, but no member takes a copy")
 	require.Zero(t, n.backends.sends.Load())
 }
 
+// Guards against sends that no other member knows of: the repeat after a failover would run a second time.
+func TestNoSendWithoutCopy(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	o, _ := n.do(n.get("a"))
+	require.Equal(t, entity.Answered(), o)
+	o, _ = n.do(n.order("a"))
+	require.Equal(t, entity.Answered(), o)
+	net.cut("i2")
+	o, _ = n.do(n.order("b"))
+	require.Equal(t, entity.Answered(), o, "the other member takes the copy")
+	net.cut("i3")
+	o, _ = n.do(n.order("c"))
+	require.Equal(t, entity.NotRun(entity.ReasonUnreachable, o.Detail), o)
+	require.EqualValues(t, 3, n.backends.sends.Load())
+}
+
+// Guards against a back end that is told to run for longer than max_run, a slot that is never freed, and "not run" after
+// the time is up.
+func TestMaxRunCapsTheDeadline(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	config := testConfig(1)
+	config.Services[0].MaxRun = 30 * time.Millisecond
+	n.deliver(service.ConfigChanged{Config: config, Version: 2})
+	n.lead(2)
+	arrived, _ := n.blocking()
+	o, _ := n.do(n.order("a"))
+	require.Equal(t, entity.Unknown(entity.ReasonDeadline, o.Detail), o)
+	require.LessOrEqual(t, receive(t, arrived).Remaining, 30*time.Millisecond)
+	n.backends.do = answerOK
+	o, _ = n.do(n.order("b"))
+	require.Equal(t, entity.Answered(), o)
+}
+
+// Guards against an answer whose caller stops reading: the slot is free again at the deadline.
+func TestUnreadAnswerFreesItsSlotAtTheDeadline(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	slow := n.get("a")
+	slow.Deadline = n.kernel.Now() + 50*time.Millisecond
+	resp := n.service.Dispatch(context.Background(), slow)
+	require.Equal(t, entity.Answered(), resp.Outcome)
+	o, _ := n.do(n.get("b"))
+	require.Equal(t, entity.Answered(), o)
+	require.NoError(t, resp.Body.Close())
+}
+
 // Guards against at-most-once requests that wait for a copy that nobody can take, where the setting says to send.
 func TestSendWithoutCopyIsCounted(t *testing.T) {
 	net := newNetwork()
@@ -363,6 +414,7 @@
 // partition that was seen without any owner ever cannot have run anything before.
 func TestFirstOwnerNeedsNoAge(t *testing.T) {
 	net := newNetwork()
+	net.young = true
 	for _, id := range []entity.InstanceID{"i1", "i2", "i3"} {
 		net.node(t, id, nil)
 	}
