--- a/internal/decide/outcome/protocol_test.go
+++ b/internal/decide/outcome/protocol_test.go
@@ -39,6 +39,14 @@
 	term    entity.Term
 	keys    map[string]*attempt
 	running map[string]int // key to the member that sent it
+	late    []heldUp
+}
+
+// heldUp is an attempt that is on its way for a while.
+type heldUp struct {
+	key  string
+	age  time.Duration // as stated by the caller
+	sent time.Duration
 }
 
 const testPartition = entity.Partition(3)
@@ -188,7 +196,8 @@
 		g := newGroup(t)
 		steps := rapid.IntRange(10, 80).Draw(t, "steps")
 		for range steps {
-			g.now += time.Duration(rapid.IntRange(1, 60_000).Draw(t, "ms")) * time.Millisecond
+			longest := rapid.SampledFrom([]int{300, 60_000}).Draw(t, "longest step")
+			g.now += time.Duration(rapid.IntRange(1, longest).Draw(t, "ms")) * time.Millisecond
 			// Each window has its own keys, since callers do not repeat a request for longer.
 			key := fmt.Sprintf("k%d/%d", rapid.IntRange(0, 5).Draw(t, "key"), g.now/testWindow)
 			i := rapid.IntRange(0, len(g.members)-1).Draw(t, "member")
@@ -205,6 +214,8 @@
 				}
 			case 3:
 				g.settle(key)
+			case 4:
+				g.arrive()
 			default:
 				g.call(key)
 			}
@@ -226,5 +237,21 @@
 	if rapid.Bool().Draw(g.t, "states no age") {
 		age = -1
 	}
+	if rapid.IntRange(0, 4).Draw(g.t, "held up") == 0 {
+		g.late = append(g.late, heldUp{key, age, g.now})
+		return
+	}
 	g.request(key, age)
 }
+
+// arrive lets the oldest attempt on its way arrive, unless its deadline of one second has passed.
+func (g *group) arrive() {
+	if len(g.late) == 0 {
+		return
+	}
+	next := g.late[0]
+	g.late = g.late[1:]
+	if g.now-next.sent < time.Second {
+		g.request(next.key, next.age)
+	}
+}
--- a/internal/service/dispatch/dispatch.go
+++ b/internal/service/dispatch/dispatch.go
@@ -109,9 +109,6 @@
 	if !req.Idempotent {
 		f.key = outcome.Key{Customer: req.Customer, Service: req.Service, IdempotencyKey: req.IdempotencyKey}
 	}
-	if s.treat(f.suspect, s.kernel.Now()) == outcome.TreatHeld {
-		return nil, heldBack(), false
-	}
 	return f, entity.Outcome{}, true
 }
 
@@ -207,6 +204,11 @@
 // run sends the request, and again if that is allowed and can help.
 func (s *Service) run(ctx context.Context, f *flight) service.Response {
 	l := f.lane
+	// An at-most-once request is held back only after the memory was asked, so that "not run" is true of its earlier
+	// attempts as well.
+	if s.treat(f.suspect, s.kernel.Now()) == outcome.TreatHeld {
+		return refused(l.abandon(f, heldBack()))
+	}
 	for {
 		if o, ok := l.acquire(ctx, f); !ok {
 			return refused(l.abandon(f, o))
--- a/internal/service/dispatch/harness_test.go
+++ b/internal/service/dispatch/harness_test.go
@@ -104,10 +104,12 @@
 	return n.nodes[address].service, nil
 }
 
-func (n *network) cut(address string) {
+func (n *network) cut(address string) { n.set(address, true) }
+
+func (n *network) set(address string, down bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.down[address] = true
+	n.down[address] = down
 }
 
 type peers struct {
--- a/internal/service/dispatch/plan.go
+++ b/internal/service/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pollenpier/pollenpier/internal/backend"
@@ -80,8 +81,13 @@
 			lanes[id] = l
 		}
 	}
-	for id, rule := range st.backends {
-		s.updateLane(lanes, id, rule, leases, now)
+	for _, id := range heldBackends(leases) {
+		if rule, configured := st.backends[id]; configured && lanes[id] == nil {
+			lanes[id] = newLane(s, id, rule, st.services[rule.service], now)
+		}
+	}
+	for id, l := range lanes {
+		l.update(st.backends[id], leases, now)
 	}
 	st.lanes = lanes
 	s.plan.Publish(&plan{
@@ -96,27 +102,32 @@
 	s.prepare(leases, now)
 }
 
-// updateLane creates the lane of a back end whose lease is held, and passes changes to an existing one.
-func (s *Service) updateLane(lanes map[entity.BackendID]*lane, id entity.BackendID, rule backendRule,
-	leases *service.LeaseView, now time.Duration) {
-	held, primary := heldLease(leases, id, now)
-	l := lanes[id]
-	if l == nil {
-		if !primary {
-			return
+// heldBackends returns the back ends whose leases this instance holds or held last.
+func heldBackends(leases *service.LeaseView) []entity.BackendID {
+	if leases == nil {
+		return nil
+	}
+	prefix := string(service.BackendLease(""))
+	var ids []entity.BackendID
+	for name := range leases.Held {
+		if id, ok := strings.CutPrefix(string(name), prefix); ok {
+			ids = append(ids, entity.BackendID(id))
 		}
-		l = newLane(s, id, rule, s.state.services[rule.service], now)
-		lanes[id] = l
 	}
+	return ids
+}
+
+// update passes changes of the configuration and the lease to the lane.
+func (l *lane) update(rule backendRule, leases *service.LeaseView, now time.Duration) {
+	held, primary := heldLease(leases, l.id, now)
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.setRule(rule)
 	if primary {
 		l.setTerm(held.Term, now)
+		return
 	}
-	l.mu.Unlock()
-	if !primary {
-		l.refuseQueued(entity.NotRun(entity.ReasonNotHolder, "lease lost while queued"))
-	}
+	l.refuseIf(func(*flight) bool { return true }, entity.NotRun(entity.ReasonNotHolder, "lease lost while queued"))
 }
 
 func heldLease(v *service.LeaseView, id entity.BackendID, now time.Duration) (service.HeldLease, bool) {
@@ -130,16 +141,25 @@
 // prepare starts the collection of the memory for the partitions of the back ends that this instance is primary of.
 func (s *Service) prepare(leases *service.LeaseView, now time.Duration) {
 	p := s.plan.Load()
+	primary := map[entity.BackendID]*lane{}
+	names := map[entity.ServiceName]bool{}
+	for id, l := range p.lanes {
+		if _, held := heldLease(leases, id, now); held {
+			primary[id] = l
+			names[l.service] = true
+		}
+	}
 	wanted := map[*lane][]assignment{}
-	for name, view := range p.view.Services {
+	for name := range names {
+		view := p.view.Services[name]
+		if view == nil {
+			continue
+		}
 		for i, owner := range view.Owners {
-			l := p.lanes[owner.Backend]
+			l := primary[owner.Backend]
 			if l == nil || owner.Moving() {
 				continue
 			}
-			if _, primary := heldLease(leases, owner.Backend, now); !primary {
-				continue
-			}
 			part := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
 			wanted[l] = append(wanted[l], assignment{part, owner.Epoch, p.past[part].revision})
 		}
--- a/internal/service/dispatch/slots.go
+++ b/internal/service/dispatch/slots.go
@@ -206,13 +206,6 @@
 	}
 }
 
-// refuseQueued refuses all waiting flights.
-func (l *lane) refuseQueued(o entity.Outcome) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refuseIf(func(*flight) bool { return true }, o)
-}
-
 // refuseIf refuses the waiting flights for which drop is true. The caller holds the lock.
 func (l *lane) refuseIf(drop func(*flight) bool, o entity.Outcome) {
 	for _, t := range l.queue.RemoveIf(drop) {
