--- a/cmd/pollenpier/demo.go
+++ b/cmd/pollenpier/demo.go
@@ -9,13 +9,12 @@
 	"go.uber.org/zap"
 
 	"github.com/pollenpier/pollenpier/internal/app"
-	"github.com/pollenpier/pollenpier/internal/configlog"
-	"github.com/pollenpier/pollenpier/internal/platform"
 	"github.com/pollenpier/pollenpier/internal/settings"
 	"github.com/pollenpier/pollenpier/internal/standin/backend"
 	platformstandin "github.com/pollenpier/pollenpier/internal/standin/platform"
 	"github.com/pollenpier/pollenpier/internal/telemetry"
 	"github.com/pollenpier/pollenpier/operator"
+	"github.com/pollenpier/pollenpier/operator/publish"
 )
 
 // demoCommand runs a whole site on loopback in one process.
@@ -124,12 +123,12 @@
 
 // publish publishes the demo's configuration as the first one.
 func (d *demoSite) publish(ctx context.Context, config *operator.Config) error {
-	client, err := platform.NewHTTPClient(platform.ClientSettings{Addresses: []string{d.platform.Address()}})
+	client, err := publish.NewClient(d.platform.Address())
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	result, err := configlog.Publish(ctx, client, 0, config, "demo")
+	result, err := client.Publish(ctx, 0, config, "demo")
 	if err != nil {
 		return errors.Wrap(err, "publish configuration")
 	}
--- a/cmd/pollenpier/publish.go
+++ b/cmd/pollenpier/publish.go
@@ -9,8 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/pollenpier/pollenpier/internal/configlog"
-	"github.com/pollenpier/pollenpier/internal/platform"
+	"github.com/pollenpier/pollenpier/operator/publish"
 )
 
 // publishCommand appends a configuration to the platform's log.
@@ -33,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := platform.NewHTTPClient(platform.ClientSettings{Addresses: c.Platform})
+	client, err := publish.NewClient(c.Platform...)
 	if err != nil {
 		return err
 	}
@@ -43,10 +42,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	if c.Base < 0 {
-		// Without a base, the file could silently undo another operator's change.
-		return errors.New("--base is missing: give the version that the file was made from (see pollenpier status), 0 for the first")
+		return missingBase(ctx, client)
 	}
-	result, err := configlog.Publish(ctx, client, uint64(c.Base), config, c.author())
+	result, err := client.Publish(ctx, uint64(c.Base), config, c.author())
 	if err != nil {
 		return err
 	}
@@ -57,6 +55,15 @@
 	return nil
 }
 
+// missingBase is the error without --base, which would let the file silently undo another operator's change.
+func missingBase(ctx context.Context, client *publish.Client) error {
+	_, version, err := client.Current(ctx)
+	if err != nil {
+		return errors.Wrap(err, "--base is missing, and the version in force cannot be read")
+	}
+	return errors.Errorf("--base is missing: give the version that the file was made from; version %d is in force", version)
+}
+
 // author returns the name under which the configuration is published.
 func (c *publishCommand) author() string {
 	if c.Author != "" {
