Release all leases in a planned stop

Cause: nothing sent StopLeases, so a stopped instance's back ends waited for the lapse of its leases (400 ms) before another instance took them over.

--- a/internal/service/lease/service.go
+++ b/internal/service/lease/service.go
@@ -152,7 +152,21 @@
 	return s.kernel.Deliver(ctx, service.Lease, heartbeatDue{})
 }
 
-// Stop does nothing: leases that StopLeases has not released lapse.
+// Drain releases all leases, so that the other members take them over at once. Dispatch has drained before.
+func (s *Service) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	if err := s.kernel.Deliver(ctx, service.Lease, service.StopLeases{Done: done}); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "release leases")
+	}
+}
+
+// Stop does nothing: leases that Drain has not released lapse.
 func (s *Service) Stop(context.Context) error { return nil }
 
 // Leases returns the published leases.
