Hand each back end over as soon as it is idle in a planned stop

Cause: dispatch stopped only when all its back ends were idle, and kept their leases meanwhile. One request of 3 s kept the instance's other back ends without service for 3 s.

Change: Drain waits for each back end on its own and hands its lease over.

--- /dev/null
+++ b/internal/e2e/stop_test.go
@@ -0,0 +1,95 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/standin/backend"
+)
+
+// primaryOf returns the instance that holds the lease of a back end, nil if none does.
+func (s *site) primaryOf(name string) *instance {
+	s.t.Helper()
+	for _, i := range s.instances {
+		resp, err := http.Get("http://" + i.admin + "/status")
+		if err != nil {
+			continue
+		}
+		var status struct {
+			Leases []struct {
+				Name string `json:"name"`
+			} `json:"leases"`
+		}
+		require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&status))
+		require.NoError(s.t, resp.Body.Close())
+		for _, l := range status.Leases {
+			if l.Name == "backend/"+name {
+				return i
+			}
+		}
+	}
+	return nil
+}
+
+// keyOn returns a key that ran on a back end.
+func (s *site) keyOn(name string) string {
+	s.t.Helper()
+	list := s.executions(name)
+	require.NotEmpty(s.t, list)
+	return list[len(list)-1].Key
+}
+
+// Guards against a planned stop in which one long request keeps the instance's other back ends from being served, and
+// against one that cuts the long request off.
+func TestPlannedStopHandsIdleBackendsOver(t *testing.T) {
+	const longRun = 3 * time.Second
+	s := newSite(t, map[string][]string{"a": {"a1", "a2", "a3", "a4", "a5", "a6"}}, true)
+	for range 2 {
+		s.addInstance("a")
+	}
+	keys := manyKeys(60)
+	s.waitServed(keys)
+	stopping := s.primaryOf("a1")
+	require.NotNil(t, stopping)
+	others := 0
+	for name := range s.backends {
+		if name != "a1" && s.primaryOf(name) == stopping {
+			others++
+		}
+	}
+	staying := s.instances[0]
+	if staying == stopping {
+		staying = s.instances[1]
+	}
+	longKey := s.keyOn("a1")
+	s.setFaults("a1", backend.Faults{LatencyMs: int(longRun.Milliseconds())})
+	long := make(chan result, 1)
+	go func() { long <- bookNew(staying.callers, longKey, "long") }()
+	s.eventually(func() bool {
+		list := s.executions("a1")
+		return list[len(list)-1].IdempotencyKey == "long"
+	}, "long request does not start")
+	require.NoError(t, stopping.cmd.Process.Signal(syscall.SIGTERM))
+	s.eventually(func() bool { return strings.Contains(stopping.log.String(), "gateway stopped") }, "gateway does not stop")
+	handedOver := time.Now()
+	for name := range s.backends {
+		if name == "a1" {
+			continue
+		}
+		require.Equal(t, "answered", look(staying.callers, s.keyOn(name)).outcome)
+	}
+	took := time.Since(handedOver)
+	t.Logf("%d other back ends of the stopping instance; all served after %v", others, took)
+	require.Less(t, took, servedAgainBound)
+	require.Equal(t, "answered", (<-long).outcome)
+	<-stopping.ended
+	require.Zero(t, stopping.cmd.ProcessState.ExitCode(), tail(stopping.log.String()))
+	s.setFaults("a1", backend.Faults{})
+	s.checkInvariants()
+}
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,26 +116,41 @@
 	return s.kernel.Deliver(ctx, service.Dispatch, tick{})
 }
 
-// Stop refuses new work and waits for running requests until ctx ends.
-func (s *Service) Stop(ctx context.Context) error {
+// Drain refuses new work and waits until ctx ends for what runs. Each back end is handed over as soon as nothing runs on it,
+// so that a long request on one back end does not keep the others from being served elsewhere.
+func (s *Service) Drain(ctx context.Context) error {
 	s.stopping.Store(true)
-	defer s.cancel()
 	var lanes []*lane
 	if p := s.plan.Load(); p != nil {
-		for _, l := range p.lanes {
-			lanes = append(lanes, l)
-		}
+		lanes = slices.Collect(maps.Values(p.lanes))
 	}
+	results := make(chan error, len(lanes))
 	for _, l := range lanes {
-		idle := l.stop()
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			telemetry.EventStopIncomplete.Log(s.log, zap.String("backend", string(l.id)))
-			return ctx.Err()
-		}
+		go func() { results <- s.handOver(ctx, l) }()
 	}
-	return s.awaitWorkers(ctx)
+	var failed error
+	for range lanes {
+		failed = errors.Join(failed, <-results)
+	}
+	return errors.Join(failed, s.awaitWorkers(ctx))
+}
+
+// handOver waits until nothing runs on the back end and gives its lease to another instance.
+func (s *Service) handOver(ctx context.Context, l *lane) error {
+	select {
+	case <-l.stop():
+		names := []service.LeaseName{service.BackendLease(l.id)}
+		return s.kernel.Deliver(ctx, service.Lease, service.HandOverLeases{Names: names})
+	case <-ctx.Done():
+		telemetry.EventStopIncomplete.Log(s.log, zap.String("backend", string(l.id)))
+		return ctx.Err()
+	}
+}
+
+// Stop ends the work in the background.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	return nil
 }
 
 // awaitWorkers lets copies of the last outcomes reach their peers.
