Copy the history of partitions only when it changes

Cause: each change of the ownership copied the whole history of partitions, which grows with their number.

Change: copy on the first change of a view. A benchmark of at-most-once requests with their copies.

--- a/internal/service/dispatch/bench_test.go
+++ b/internal/service/dispatch/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -65,3 +66,18 @@
 		})
 	})
 }
+
+// BenchmarkDispatchOrder measures an at-most-once request, with a copy in the memory of another instance of this process.
+func BenchmarkDispatchOrder(b *testing.B) {
+	benchmark(b, 3, func(n *node) {
+		number := 0
+		for b.Loop() {
+			number++
+			n.must(b, n.order(strconv.Itoa(number)))
+			if number%100_000 == 0 {
+				// A window later the keys are forgotten. Without this the memory would be full.
+				n.clock.ahead.Add(int64(processAge))
+			}
+		}
+	})
+}
--- a/internal/service/dispatch/history.go
+++ b/internal/service/dispatch/history.go
@@ -38,6 +38,23 @@
 	bornAt time.Duration
 }
 
+// historyEdit changes a copy of the published map, which is made only when something changes.
+type historyEdit struct {
+	entries map[outcome.PartitionKey]history
+	copied  bool
+}
+
+func (e *historyEdit) set(key outcome.PartitionKey, h history) {
+	if !e.copied {
+		e.copied = true
+		e.entries = maps.Clone(e.entries)
+	}
+	if e.entries == nil {
+		e.entries = map[outcome.PartitionKey]history{}
+	}
+	e.entries[key] = h
+}
+
 // applyView notes the changes of owners and members between two views.
 func (s *Service) applyView(next *ownership.View, now time.Duration) {
 	st := &s.state
@@ -46,10 +63,7 @@
 		before = &ownership.View{}
 	}
 	st.noteRemoved(s.peersIn(before), next, now, s.settings.MemoryWindow)
-	past := maps.Clone(st.past)
-	if past == nil {
-		past = map[outcome.PartitionKey]history{}
-	}
+	past := &historyEdit{entries: st.past}
 	for name, view := range next.Services {
 		old := before.Services[name]
 		if old != nil && old.Version == view.Version && len(old.Owners) == len(view.Owners) {
@@ -62,7 +76,7 @@
 		st.noteHotKeys(past, name, before, old, view)
 	}
 	st.noteGroups(past, before, next)
-	st.past = past
+	st.past = past.entries
 	st.view = next
 	st.viewAt = -1
 	if leases := s.leases.Leases(); leases != nil && now < leases.FreshUntil {
@@ -91,14 +105,14 @@
 
 // noteOwners records new owners. If the old view was the end of the log, a partition without an owner in it never had one;
 // otherwise it shows only that there was none at that point of the replay.
-func (st *controlState) noteOwners(past map[outcome.PartitionKey]history, name entity.ServiceName,
+func (st *controlState) noteOwners(past *historyEdit, name entity.ServiceName,
 	before *ownership.View, old, next *ownership.ServiceView) {
 	fresh := st.view != nil && st.viewAt >= 0
 	for i, owner := range next.Owners {
 		key := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
 		if i >= len(old.Owners) || neverOwned(old.Owners[i]) {
 			if fresh && owner.Backend != "" && uint32(i) < next.Count {
-				past[key] = history{born: true, bornAt: st.viewAt}
+				past.set(key, history{born: true, bornAt: st.viewAt})
 			}
 			continue
 		}
@@ -106,47 +120,47 @@
 		if former == "" || former == owner.Backend {
 			continue
 		}
-		h := past[key]
+		h := past.entries[key]
 		h.former = st.groupOf(before, former)
-		past[key] = h
+		past.set(key, h)
 	}
 }
 
 func neverOwned(o ownership.Owner) bool { return o.Backend == "" && o.Epoch == 0 && !o.Moving() }
 
 // noteHotKeys links virtual partitions with the base partitions of their keys.
-func (st *controlState) noteHotKeys(past map[outcome.PartitionKey]history, name entity.ServiceName,
+func (st *controlState) noteHotKeys(past *historyEdit, name entity.ServiceName,
 	before *ownership.View, old, next *ownership.ServiceView) {
 	for hash, virtual := range next.Hot {
 		base := entity.PartitionOf(hash, next.Count)
 		key := outcome.PartitionKey{Service: name, Partition: virtual}
-		h := past[key]
+		h := past.entries[key]
 		if len(h.also) == 1 && h.also[0] == base {
 			continue
 		}
-		h = past[outcome.PartitionKey{Service: name, Partition: base}]
+		h = past.entries[outcome.PartitionKey{Service: name, Partition: base}]
 		if int(base) < len(old.Owners) {
 			h.former = st.groupOf(before, old.Owners[base].Backend)
 		}
 		h.also = []entity.Partition{base}
 		h.revision++
-		past[key] = h
+		past.set(key, h)
 	}
 	for hash, virtual := range old.Hot {
 		if now, still := next.Hot[hash]; (still && now == virtual) || int(virtual) >= len(old.Owners) {
 			continue
 		}
 		key := outcome.PartitionKey{Service: name, Partition: entity.PartitionOf(hash, next.Count)}
-		h := past[key]
+		h := past.entries[key]
 		h.former = st.groupOf(before, old.Owners[virtual].Backend)
 		h.also = []entity.Partition{virtual}
 		h.revision++
-		past[key] = h
+		past.set(key, h)
 	}
 }
 
 // noteGroups records that back ends are served by another lease group than before, because groups were added or removed.
-func (st *controlState) noteGroups(past map[outcome.PartitionKey]history, before, next *ownership.View) {
+func (st *controlState) noteGroups(past *historyEdit, before, next *ownership.View) {
 	if slices.Equal(groupsOf(before), groupsOf(next)) {
 		return
 	}
@@ -161,10 +175,10 @@
 				continue
 			}
 			key := outcome.PartitionKey{Service: name, Partition: entity.Partition(i)}
-			h := past[key]
+			h := past.entries[key]
 			h.former = before.Group(was)
 			h.revision++
-			past[key] = h
+			past.set(key, h)
 		}
 	}
 }
