Keep the memory of orders complete when members are replaced

Cause: a new primary counted a replaced member as one that may have held the only copies, for a whole idempotency window. In a restart of the instances one after the other, orders without a stated age would have been answered unknown for minutes.

Ruled out: trusting the group after a fixed time, which is wrong if the primary could not make new copies.

Change: five seconds after its lease group changed, a primary gives all records to one member and confirms it with the horizons. A new primary that finds such a copy needs the records of the other members only since then. OutcomeEntry has the field confirmed_us.

--- a/internal/decide/outcome/copies.go
+++ b/internal/decide/outcome/copies.go
@@ -12,8 +12,8 @@
 }
 
 type copied struct {
-	record Record // Age is relative to at
-	at     time.Duration
+	record Record // as it was at stored
+	stored time.Duration
 }
 
 // NewCopies returns an empty store.
@@ -57,7 +57,7 @@
 	if ok {
 		c.bytes -= old.record.Answer.size()
 	}
-	held := &copied{r, now - r.Age}
+	held := &copied{r, now}
 	c.records[r.Key] = held
 	c.bytes += r.Answer.size()
 	c.ages.add(now, held)
@@ -65,10 +65,13 @@
 
 func (c *Copies) storeHorizon(r Record, now time.Duration) {
 	p := r.PartitionKey()
-	if old, ok := c.horizons[p]; ok && !old.record.Version.Less(r.Version) {
-		return
+	if old, ok := c.horizons[p]; ok {
+		known := old.record.Version
+		if r.Version.Less(known) || (r.Version == known && r.Confirmed == 0) {
+			return
+		}
 	}
-	c.horizons[p] = &copied{r, now - r.Age}
+	c.horizons[p] = &copied{r, now}
 }
 
 func (c *Copies) expire(now time.Duration) {
@@ -83,8 +86,8 @@
 		c.bytes -= held.record.Answer.size()
 	})
 	for p, held := range c.horizons {
-		// A horizon older than the window limits nothing any more.
-		if now-held.at > 2*c.limits.Window {
+		// After a window a horizon limits nothing and its complete copy holds nothing any more.
+		if now-held.stored > c.limits.Window {
 			delete(c.horizons, p)
 		}
 	}
@@ -110,6 +113,10 @@
 
 func (h *copied) aged(now time.Duration) Record {
 	r := h.record
-	r.Age = now - h.at
+	held := now - h.stored
+	r.Age += held
+	if r.Confirmed > 0 {
+		r.Confirmed += held
+	}
 	return r
 }
--- a/internal/decide/outcome/protocol_test.go
+++ b/internal/decide/outcome/protocol_test.go
@@ -95,6 +95,31 @@
 	}
 }
 
+// repair gives a complete copy to one member, unless it gets lost on the way.
+func (g *group) repair(to int) {
+	peer := g.members[to]
+	if to == g.primary || !peer.up {
+		return
+	}
+	records := g.members[g.primary].memory.Export(nil, g.now)
+	for _, r := range records {
+		if r.State == outcome.StateHorizon {
+			continue
+		}
+		if rapid.IntRange(0, 19).Draw(g.t, "lost record") == 0 {
+			return
+		}
+		peer.copies.Store([]outcome.Record{r}, g.now)
+	}
+	delay := time.Duration(rapid.IntRange(1, 1000).Draw(g.t, "transfer ms")) * time.Millisecond
+	for _, r := range records {
+		if r.State == outcome.StateHorizon {
+			r.Confirmed = delay
+			peer.copies.Store([]outcome.Record{r}, g.now+delay)
+		}
+	}
+}
+
 // copyTo stores records at one other member that is up. It may fail.
 func (g *group) copyTo(records []outcome.Record) bool {
 	start := rapid.IntRange(0, len(g.members)-1).Draw(g.t, "peer")
@@ -216,6 +241,8 @@
 				g.settle(key)
 			case 4:
 				g.arrive()
+			case 5:
+				g.repair(i)
 			default:
 				g.call(key)
 			}
--- a/internal/decide/outcome/record.go
+++ b/internal/decide/outcome/record.go
@@ -85,6 +85,9 @@
 	// Age is the time since the request began here, or since the horizon.
 	Age    time.Duration
 	Answer *Answer // only if answered and kept
+	// Confirmed is set in horizons that come with a complete copy of the partition's memory: the time since that copy was
+	// made. Zero means that the holder was not given a complete copy.
+	Confirmed time.Duration
 }
 
 // PartitionKey returns the partition that the record belongs to.
--- a/internal/decide/outcome/transfer.go
+++ b/internal/decide/outcome/transfer.go
@@ -91,19 +91,21 @@
 	}
 }
 
+// confirmMargin is subtracted from the time of a complete copy for the way of the copy to its holder.
+const confirmMargin = 2 * time.Second
+
 // Horizon returns the time since which the instances of a lease group together have every at-most-once request.
 //
 // Each request is recorded at its primary and at one more member before it is sent. It is therefore still known if at most
 // one member has lost its memory. Since holds for each member of the group the time since which it has everything that
-// it was given: its start, or now if it does not answer. The record of a horizon that an earlier primary found counts
-// as well: it limits the result.
+// it was given: its start, or now if it does not answer. Requests before that are known as well if a member that answered
+// holds a complete copy that was made later. The record of a horizon that an earlier primary found limits the result.
 func Horizon(since []time.Duration, records []Record, p PartitionKey, now time.Duration) time.Duration {
-	group := time.Duration(0)
+	group := now
 	sorted := slices.Clone(since)
 	slices.Sort(sorted)
 	switch n := len(sorted); n {
 	case 0:
-		group = now
 	case 1:
 		group = sorted[0]
 	default:
@@ -113,7 +115,22 @@
 	if !ok {
 		return group
 	}
-	return max(group, now-inherited.Age)
+	return max(extend(group, records, p, now), now-inherited.Age)
+}
+
+// extend moves the horizon of the group back to the horizons of the complete copies that were made since.
+func extend(group time.Duration, records []Record, p PartitionKey, now time.Duration) time.Duration {
+	extended := group
+	for i := range records {
+		r := &records[i]
+		if r.State != StateHorizon || r.PartitionKey() != p || r.Confirmed <= 0 {
+			continue
+		}
+		if group <= now-r.Confirmed-confirmMargin {
+			extended = min(extended, now-r.Age)
+		}
+	}
+	return extended
 }
 
 // inheritedHorizon returns the newest horizon record of the partition.
--- a/internal/peer/outcomes.go
+++ b/internal/peer/outcomes.go
@@ -79,6 +79,7 @@
 		Partition:      uint32(r.Partition),
 		State:          uint32(r.State),
 		AgeUs:          r.Age.Microseconds(),
+		ConfirmedUs:    r.Confirmed.Microseconds(),
 		Epoch:          uint64(r.Version.Epoch),
 		Term:           uint64(r.Version.Term),
 		Sequence:       r.Version.Sequence,
@@ -110,6 +111,7 @@
 		Partition:   entity.Partition(m.GetPartition()),
 		State:       outcome.State(m.GetState()),
 		Age:         time.Duration(m.GetAgeUs()) * time.Microsecond,
+		Confirmed:   time.Duration(m.GetConfirmedUs()) * time.Microsecond,
 		Version: outcome.Version{
 			Epoch: entity.Epoch(m.GetEpoch()), Term: entity.Term(m.GetTerm()), Sequence: m.GetSequence(),
 		},
--- a/internal/service/dispatch/collect.go
+++ b/internal/service/dispatch/collect.go
@@ -117,6 +117,7 @@
 		l.memory.SetHorizon(a.part, a.epoch, since, now)
 	}
 	// The new primary and one more member hold all records again, so that another loss is survived.
+	l.repairAt = now + repairDelay
 	if len(p.peers) > 0 {
 		l.post(l.memory.Export(keysOf(l.service, partitions), now)...)
 	}
--- a/internal/service/dispatch/copy.go
+++ b/internal/service/dispatch/copy.go
@@ -97,13 +97,7 @@
 func (l *lane) nextBatch() ([]outcome.Record, entity.Term) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n, size := 0, 0
-	for n < len(l.outbox) && n < copyBatch && size < copyBatchBytes {
-		if a := l.outbox[n].Answer; a != nil {
-			size += len(a.Body)
-		}
-		n++
-	}
+	n := batchLength(l.outbox)
 	batch := l.outbox[:n:n]
 	l.outbox = l.outbox[n:]
 	if n == 0 {
@@ -112,3 +106,15 @@
 	}
 	return batch, l.term
 }
+
+// batchLength returns the number of records that fit into one call.
+func batchLength(records []outcome.Record) int {
+	n, size := 0, 0
+	for n < len(records) && n < copyBatch && size < copyBatchBytes {
+		if a := records[n].Answer; a != nil {
+			size += len(a.Body)
+		}
+		n++
+	}
+	return n
+}
--- a/internal/service/dispatch/lane.go
+++ b/internal/service/dispatch/lane.go
@@ -53,7 +53,8 @@
 	collections map[outcome.PartitionKey]*collection
 	outbox      []outcome.Record // records to copy to a peer in the background
 	copying     bool
-	peer        atomic.Int32 // index of the peer that took the last copy
+	repairAt    time.Duration // when all records are given to a member again, zero if that is not planned
+	peer        atomic.Int32  // index of the peer that took the last copy
 
 	drained map[outcome.PartitionKey]entity.Epoch // nothing is sent up to these epochs
 	drains  []*pendingDrain
--- a/internal/service/dispatch/outcome_test.go
+++ b/internal/service/dispatch/outcome_test.go
@@ -437,3 +437,36 @@
 	require.NotEqual(t, entity.OutcomeNotRun, o.Kind)
 	require.Zero(t, next.backends.sends.Load())
 }
+
+// Guards against orders without an age that nobody can place for ten minutes, because one member was replaced shortly
+// before the primary was lost: the complete copy that followed the replacement counts.
+func TestCompleteCopyOutlivesAReplacedMember(t *testing.T) {
+	net := newNetwork()
+	n := primary(t, net, 1)
+	o, _ := n.do(n.order("a"))
+	require.Equal(t, entity.Answered(), o)
+	net.young = true
+	net.node(t, "i4", nil)
+	members := []entity.InstanceID{"i1", "i2", "i4"} // i4 replaces i3
+	net.cut("i3")
+	for _, id := range members {
+		net.nodes[string(id)].setUp(1, members...)
+	}
+	n.lead(1)
+	for range 2 {
+		n.clock.ahead.Add(int64(10 * time.Second))
+		net.nodes["i2"].clock.ahead.Add(int64(10 * time.Second))
+		net.nodes["i4"].clock.ahead.Add(int64(10 * time.Second))
+		time.Sleep(1200 * time.Millisecond) // until the report that finds the copy due
+	}
+	net.cut("i1")
+	next := net.nodes["i2"]
+	next.lead(2)
+	old, fresh := next.order("a"), next.order("b")
+	old.Age, fresh.Age = -1, -1
+	o, _ = next.do(old)
+	require.NotEqual(t, entity.OutcomeNotRun, o.Kind)
+	require.Zero(t, next.backends.sends.Load())
+	o, _ = next.do(fresh)
+	require.Equal(t, entity.Answered(), o)
+}
--- a/internal/service/dispatch/plan.go
+++ b/internal/service/dispatch/plan.go
@@ -90,12 +90,16 @@
 		l.update(st.backends[id], leases, now)
 	}
 	st.lanes = lanes
+	peers := s.peersIn(st.view)
+	if old := s.plan.Load(); old != nil && !sameMembers(old.peers, peers) {
+		planRepairs(lanes, now)
+	}
 	s.plan.Publish(&plan{
 		services: st.services,
 		backends: st.backends,
 		lanes:    lanes,
 		view:     st.view,
-		peers:    s.peersIn(st.view),
+		peers:    peers,
 		removed:  st.removed,
 		past:     st.past,
 	})
--- a/internal/service/dispatch/report.go
+++ b/internal/service/dispatch/report.go
@@ -33,7 +33,11 @@
 	known := map[entity.ServiceName][]entity.BackendID{}
 	var reports []service.BackendLatency
 	running, waiting := 0, 0
+	leases := s.leases.Leases()
 	for id, l := range p.lanes {
+		if _, primary := heldLease(leases, id, t.Now()); primary {
+			l.repairIfDue(t.Now())
+		}
 		r := l.closeWindow(t.Now())
 		running += r.running
 		waiting += r.waiting
--- a/internal/telemetry/catalogue_dispatch.go
+++ b/internal/telemetry/catalogue_dispatch.go
@@ -12,5 +12,6 @@
 	EventCollected       = define(1505, zapcore.InfoLevel, "idempotency memory collected from peers")
 	EventDrained         = define(1506, zapcore.InfoLevel, "partitions drained")
 	EventPrimary         = define(1507, zapcore.InfoLevel, "sending to back end as its primary")
+	EventRepaired        = define(1509, zapcore.InfoLevel, "complete copy of the idempotency memory given to a peer")
 	EventStopIncomplete  = define(1508, zapcore.WarnLevel, "requests still running at the end of the stop")
 )
