Spread the back ends over the instances of a lease group

Cause: the first instance of a lease group took all leases and kept them, since nothing asked it to hand over. After a rolling restart most back ends hung on one instance.

Ruled out: handing over at random idle moments (a busy back end has none).

Change: a lease whose preferred live holder has been another instance for 5 s is handed over, one at a time, after new requests were held back until the back end was idle, 300 ms at most. Refused requests are tried again by the gateway.

Measured: with load from four callers, 8 back ends spread from one instance over three without a lost request (TestBackendsSpreadOverNewInstances).

--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -176,6 +176,19 @@
 	return h.Release(now, names)
 }
 
+// Misplaced returns the held names whose preferred live member is another one, in order.
+func (h *Holder) Misplaced(now time.Duration) []Name {
+	candidates := h.candidates(now)
+	var names []Name
+	for _, name := range h.sortedNames() {
+		n := h.names[name]
+		if n.held && now < n.until && Preferred(name, candidates) != h.self {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // HandOver releases the names whose preferred live member is another one. It is the planned way of rebalancing.
 func (h *Holder) HandOver(now time.Duration, names []Name) Effects {
 	var moving []Name
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -93,3 +93,29 @@
 	s.setFaults("a1", backend.Faults{})
 	s.checkInvariants()
 }
+
+// Guards against back ends that all stay with the instance that was there first, and against requests that are lost when
+// they are handed over.
+func TestBackendsSpreadOverNewInstances(t *testing.T) {
+	names := []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}
+	s := newSite(t, map[string][]string{"a": names}, true)
+	s.addInstance("a")
+	keys := manyKeys(60)
+	s.waitServed(keys)
+	for range 2 {
+		s.addInstance("a")
+	}
+	s.waitServed(keys)
+	l := s.startLoad(4, keys, s.instances...)
+	s.eventually(func() bool {
+		held := map[*instance]int{}
+		for _, name := range names {
+			held[s.primaryOf(name)]++
+		}
+		return held[s.instances[0]] <= len(names)/2
+	}, "back ends do not spread")
+	time.Sleep(time.Second)
+	seen := l.end()
+	require.Len(t, seen, 1, "requests were lost: %v", seen)
+	s.checkInvariants()
+}
--- a/internal/service/dispatch/lane.go
+++ b/internal/service/dispatch/lane.go
@@ -158,6 +158,16 @@
 	return l.idle
 }
 
+// resume takes requests again after a stop, unless the whole service stops.
+func (l *lane) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped && !l.svc.stopping.Load() {
+		l.stopped = false
+		l.idle = make(chan struct{})
+	}
+}
+
 // admit counts a request in. It fails while the lane stops or holds too many bytes of bodies.
 func (l *lane) admit(f *flight) (entity.Outcome, bool) {
 	l.mu.Lock()
--- a/internal/service/dispatch/report.go
+++ b/internal/service/dispatch/report.go
@@ -34,6 +34,7 @@
 	var reports []service.BackendLatency
 	running, waiting := 0, 0
 	leases := s.leases.Leases()
+	s.rebalance(leases)
 	for id, l := range p.lanes {
 		if _, primary := heldLease(leases, id, t.Now()); primary {
 			l.repairIfDue(t.Now())
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -45,7 +45,10 @@
 	workers  sync.WaitGroup
 	started  time.Duration // on the kernel's clock: the memory of this process begins here
 	stopping atomic.Bool
-	plan     kernel.Snapshot[plan]
+	// rebalancing is true while a back end is being handed over; rebalanced counts the attempts, on the control goroutine.
+	rebalancing atomic.Bool
+	rebalanced  int
+	plan        kernel.Snapshot[plan]
 
 	keeperMu sync.Mutex // guards copies
 	copies   *outcome.Copies
@@ -126,7 +129,13 @@
 	}
 	results := make(chan error, len(lanes))
 	for _, l := range lanes {
-		go func() { results <- s.handOver(ctx, l) }()
+		go func() {
+			err := s.handOver(ctx, l)
+			if err != nil {
+				telemetry.EventStopIncomplete.Log(s.log, zap.String("backend", string(l.id)))
+			}
+			results <- err
+		}()
 	}
 	var failed error
 	for range lanes {
@@ -142,7 +151,6 @@
 		names := []service.LeaseName{service.BackendLease(l.id)}
 		return s.kernel.Deliver(ctx, service.Lease, service.HandOverLeases{Names: names})
 	case <-ctx.Done():
-		telemetry.EventStopIncomplete.Log(s.log, zap.String("backend", string(l.id)))
 		return ctx.Err()
 	}
 }
--- a/internal/service/lease/heartbeat.go
+++ b/internal/service/lease/heartbeat.go
@@ -43,6 +43,7 @@
 func (s *Service) heartbeat(t *kernel.Turn) {
 	effects := s.group.Tick(t.Now())
 	s.noteGroup(t, effects)
+	s.misplaced.update(t.Now(), s.group.Holder)
 	s.heartbeatZones(t)
 	if s.view == nil {
 		return
--- a/internal/service/lease/publish.go
+++ b/internal/service/lease/publish.go
@@ -54,6 +54,7 @@
 	view := &service.LeaseView{
 		Held:           map[service.LeaseName]service.HeldLease{},
 		Holders:        map[service.LeaseName]entity.InstanceID{},
+		Misplaced:      s.misplaced.ready,
 		FreshUntil:     s.evidence.freshAt + s.settings.FreshFor,
 		AuthorityUntil: s.evidence.authorityAt + s.settings.AuthorityTTL,
 	}
--- a/internal/service/lease/service.go
+++ b/internal/service/lease/service.go
@@ -66,10 +66,11 @@
 	peers         map[entity.InstanceID]*peer
 
 	// group holds this instance's vote and claims in its lease group, key.
-	group  *lease.Participant
-	key    ownership.GroupKey
-	member bool
-	report rosterReport
+	group     *lease.Participant
+	key       ownership.GroupKey
+	member    bool
+	report    rosterReport
+	misplaced misplaced
 
 	// zones holds the zone's vote and claims. Invariant: it is nil unless this instance gained the delegate lease and has
 	// not seen it end.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -112,6 +112,8 @@
 	Held map[LeaseName]HeldLease
 	// Holders maps names to the holder that this instance last promised or heard of.
 	Holders map[LeaseName]entity.InstanceID
+	// Misplaced are the leases that another live instance should hold, and has been fit to hold for some time.
+	Misplaced []LeaseName
 	// FreshUntil is the time until which this instance's view of the log counts as fresh.
 	FreshUntil time.Duration
 	// AuthorityUntil is the time until which the zone's authority is valid. The cut-off hold of a service adds to it.
--- a/internal/telemetry/catalogue_dispatch.go
+++ b/internal/telemetry/catalogue_dispatch.go
@@ -13,5 +13,6 @@
 	EventDrained         = define(1506, zapcore.InfoLevel, "partitions drained")
 	EventPrimary         = define(1507, zapcore.InfoLevel, "sending to back end as its primary")
 	EventRepaired        = define(1509, zapcore.InfoLevel, "complete copy of the idempotency memory given to a peer")
+	EventRebalanced      = define(1520, zapcore.InfoLevel, "back end handed over to its preferred instance")
 	EventStopIncomplete  = define(1508, zapcore.WarnLevel, "requests still running at the end of the stop")
 )
