--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -34,7 +34,7 @@
 	ConfigStatus() *ConfigStatus
 }
 
-// OwnershipChanged is sent by control to lease, session, routing, dispatch, membership and admission after it applied
+// OwnershipChanged is sent by control to lease, session, routing, dispatch and admission after it applied
 // records.
 type OwnershipChanged struct {
 	View *ownership.View
@@ -110,6 +110,8 @@
 	Requests uint64
 	// Hot are the keys with the largest part of the requests, largest first.
 	Hot []HotKey
+	// Straggler is true if the back end has been slower than its peers at this primary for several windows.
+	Straggler bool
 }
 
 // HotKey is a key that gets a large part of a back end's requests.
@@ -132,7 +134,7 @@
 	Since   time.Duration
 }
 
-// PeerState is sent by lease to membership, control and config for each heartbeat answer or request.
+// PeerState is sent by lease to control and config for each heartbeat answer or request.
 type PeerState struct {
 	Instance      entity.InstanceID
 	Zone          entity.Zone
