--- /dev/null
+++ b/internal/bench/idle.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// usage is what a process has used so far.
+type usage struct {
+	cpu      time.Duration
+	resident int64 // bytes
+	read     int64 // bytes through read and write calls, which are almost only those of sockets
+	written  int64
+}
+
+// ticksPerSecond is the unit of processor time in /proc, which is fixed on Linux.
+const ticksPerSecond = 100
+
+// measureIdle measures the control cost of instances without requests, as processes. It goes over three sizes of the site.
+func measureIdle(ctx context.Context, d time.Duration) error {
+	dir, err := os.MkdirTemp("", "pollenpier-bench")
+	if err != nil {
+		return errors.Wrap(err, "make directory")
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // a left directory does no harm
+	binary := filepath.Join(dir, "pollenpier")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/pollenpier").CombinedOutput(); err != nil { // #nosec G204 -- the path is made here
+		return errors.Wrapf(err, "build: %s", out)
+	}
+	fmt.Printf("  %-44s %9s %9s %9s %9s\n", "site (per instance; mean, largest)", "% core", "MB", "B/s read", "B/s write")
+	for _, size := range idleSizes {
+		if err := measureIdleSite(ctx, binary, dir, size, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// idleSize is a site without requests.
+type idleSize struct {
+	perZone  int
+	backends int
+}
+
+// idleSizes differ in one number at a time from the last, which is that of the deployments.
+var idleSizes = []idleSize{{4, 0}, {4, 12}, {2, 41}, {4, 41}}
+
+func measureIdleSite(ctx context.Context, binary, dir string, size idleSize, d time.Duration) (err error) {
+	s, err := startStandins(ctx, deployment{"idle", 2, []serviceSize{{"stock", size.backends}}})
+	defer func() { err = errors.Join(err, s.stop()) }()
+	if err != nil {
+		return err
+	}
+	var children []*exec.Cmd
+	defer func() { stopChildren(children) }()
+	for _, zone := range s.zones {
+		for range size.perZone {
+			child, err := startChild(binary, dir, s, zone)
+			if err != nil {
+				return err
+			}
+			children = append(children, child)
+		}
+	}
+	if err := s.awaitIdle(ctx, size); err != nil {
+		return err
+	}
+	before, err := readUsages(children)
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	after, err := readUsages(children)
+	if err != nil {
+		return err
+	}
+	printIdle(fmt.Sprintf("%d instances, %d back ends", len(children), size.backends), before, after, d)
+	return nil
+}
+
+// awaitIdle waits until the site has settled.
+func (s *site) awaitIdle(ctx context.Context, size idleSize) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if size.backends > 0 {
+		return s.awaitAssigned(ctx)
+	}
+	s.deployment.services = nil
+	return s.awaitAssigned(ctx)
+}
+
+// startChild starts an instance as a process.
+func startChild(binary, dir string, s *site, zone string) (*exec.Cmd, error) {
+	text := fmt.Sprintf("zone: %s\nplatform:\n  addresses: [%q]\nregister_instance: true\nlog_level: error\nlisten:\n",
+		zone, s.platform.Address())
+	for _, name := range []string{"callers", "internal", "peer", "admin"} {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		text += fmt.Sprintf("  %s: %s\n", name, address)
+	}
+	file, err := os.CreateTemp(dir, "instance-*.yaml")
+	if err != nil {
+		return nil, errors.Wrap(err, "make settings")
+	}
+	_, err = file.WriteString(text)
+	if err = errors.Join(err, file.Close()); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	path := file.Name()
+	cmd := exec.Command(binary, "serve", "--settings", path) // #nosec G204 -- the program was built here
+	cmd.Stderr = os.Stderr
+	return cmd, errors.Wrap(cmd.Start(), "start instance")
+}
+
+// freeAddress returns a loopback address whose port was free just now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	return l.Addr().String(), errors.Wrap(l.Close(), "find a free port")
+}
+
+// stopChildren ends the instances, which need no graceful stop here.
+func stopChildren(children []*exec.Cmd) {
+	for _, c := range children {
+		_ = c.Process.Signal(syscall.SIGKILL) // it may have ended
+	}
+	for _, c := range children {
+		_ = c.Wait() // it was killed
+	}
+}
+
+func readUsages(children []*exec.Cmd) ([]usage, error) {
+	list := make([]usage, 0, len(children))
+	for _, c := range children {
+		u, err := readUsage(c.Process.Pid)
+		if err != nil {
+			return nil, errors.Wrapf(err, "usage of process %d", c.Process.Pid)
+		}
+		list = append(list, u)
+	}
+	return list, nil
+}
+
+// readUsage reads stat, status and io of a process. In stat, the fields after the name in parentheses begin with the third.
+func readUsage(pid int) (usage, error) {
+	dir := fmt.Sprintf("/proc/%d/", pid)
+	stat, err := os.ReadFile(dir + "stat") // #nosec G304 -- a child's own file
+	if err != nil {
+		return usage{}, err
+	}
+	const utime, stime = 11, 12
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	ticks := number(fields[utime]) + number(fields[stime])
+	status, err := readFields(dir + "status")
+	if err != nil {
+		return usage{}, err
+	}
+	io, err := readFields(dir + "io")
+	if err != nil {
+		return usage{}, err
+	}
+	const kilobyte = 1024
+	return usage{
+		cpu: time.Duration(ticks) * time.Second / ticksPerSecond, resident: status["VmRSS"] * kilobyte,
+		read: io["rchar"], written: io["wchar"],
+	}, nil
+}
+
+// readFields reads lines of the form "name: number".
+func readFields(path string) (map[string]int64, error) {
+	data, err := os.ReadFile(path) // #nosec G304 -- a child's own file
+	if err != nil {
+		return nil, err
+	}
+	fields := map[string]int64{}
+	for line := range strings.Lines(string(data)) {
+		name, value, ok := strings.Cut(line, ":")
+		if words := strings.Fields(value); ok && len(words) > 0 {
+			fields[name] = number(words[0])
+		}
+	}
+	return fields, nil
+}
+
+// number returns zero for text that is not a number, as in fields that are not used here.
+func number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func printIdle(name string, before, after []usage, d time.Duration) {
+	var sum, most [4]float64
+	for i := range after {
+		values := [4]float64{
+			100 * (after[i].cpu - before[i].cpu).Seconds() / d.Seconds(),
+			float64(after[i].resident) / 1e6,
+			float64(after[i].read-before[i].read) / d.Seconds(),
+			float64(after[i].written-before[i].written) / d.Seconds(),
+		}
+		for j, v := range values {
+			sum[j] += v
+			most[j] = max(most[j], v)
+		}
+	}
+	n := float64(len(after))
+	fmt.Printf("  %-44s %9.2f %9.1f %9.0f %9.0f\n", name+", mean", sum[0]/n, sum[1]/n, sum[2]/n, sum[3]/n)
+	fmt.Printf("  %-44s %9.2f %9.1f %9.0f %9.0f   load %s\n", name+", largest", most[0], most[1], most[2], most[3], loadAverage())
+}
--- /dev/null
+++ b/internal/bench/path.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime/pprof"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+)
+
+// idleConnections bounds the kept connections to one address.
+const idleConnections = 256
+
+// measurePath compares requests through pollenpier with direct calls to the same back ends.
+func measurePath(ctx context.Context, o options) error {
+	for _, d := range deployments {
+		if err := measureDeployment(ctx, d, o); err != nil {
+			return errors.Wrap(err, d.name)
+		}
+	}
+	return nil
+}
+
+func measureDeployment(ctx context.Context, d deployment, o options) (err error) {
+	s, err := startStandins(ctx, d)
+	defer func() { err = errors.Join(err, s.stop()) }()
+	if err != nil {
+		return err
+	}
+	if err := s.startInstances(ctx); err != nil {
+		return err
+	}
+	view, err := s.view(ctx)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	defer client.CloseIdleConnections()
+	direct, through := s.direct(client, view), s.through(client)
+	fmt.Printf("%s: %d instances, %d back ends with %d slots and %v of work, capacity %.0f requests/s\n",
+		d.name, len(s.instances), len(s.backends), d.slots, work, d.capacity())
+	closedLoop(ctx, d.totalSlots(), time.Second, through) // opens connections and warms the ramps up
+	closedLoop(ctx, d.totalSlots(), time.Second, direct)
+	fmt.Printf("  %-34s %9s %9s %9s %9s %9s %7s\n", "load (milliseconds)", "p50", "p99", "p99.9", "req/s", "cpu/req", "failed")
+	compare("one caller at a time", closedLoop(ctx, 1, o.Duration, direct), closedLoop(ctx, 1, o.Duration, through))
+	half := d.capacity() / 2
+	before := openLoop(ctx, half, o.Duration, direct)
+	after, err := profiled(o.Profile, func() result { return openLoop(ctx, half, o.Duration, through) })
+	if err != nil {
+		return err
+	}
+	compare(fmt.Sprintf("half load, %.0f/s", half), before, after)
+	full := 2 * d.totalSlots()
+	compare(fmt.Sprintf("saturation, %d callers", full),
+		closedLoop(ctx, full, o.Duration, direct), closedLoop(ctx, full, o.Duration, through))
+	fmt.Printf("  load after: %s\n", loadAverage())
+	return nil
+}
+
+// target selects service and key of a request.
+func (s *site) target(n uint64) (service, key string) {
+	b := int(n>>32) % len(s.backends) // services are used in proportion to their back ends
+	for _, size := range s.deployment.services {
+		if b < size.backends {
+			return size.name, fmt.Sprint("key-", n)
+		}
+		b -= size.backends
+	}
+	return "", ""
+}
+
+// through sends requests to the instances in turn.
+func (s *site) through(client *http.Client) caller {
+	return func(ctx context.Context, n uint64) error {
+		service, key := s.target(n)
+		address := s.instances[n%uint64(len(s.instances))].CallersAddress()
+		return get(ctx, client, address, "/"+service+"/items", key)
+	}
+}
+
+// direct sends requests to the owners of their keys.
+func (s *site) direct(client *http.Client, view *ownership.View) caller {
+	return func(ctx context.Context, n uint64) error {
+		service, key := s.target(n)
+		v := view.Services[entity.ServiceName(service)]
+		owner := v.Owners[v.Locate(entity.HashKey(key))]
+		return get(ctx, client, s.addresses[owner.Backend], "/items", key)
+	}
+}
+
+// profiled runs a load under a CPU profile if a file is given. The first deployment's profile is overwritten by the last.
+func profiled(path string, load func() result) (result, error) {
+	if path == "" {
+		return load(), nil
+	}
+	file, err := os.Create(path) // #nosec G304 -- the path is given by whoever measures
+	if err != nil {
+		return result{}, errors.Wrap(err, "create profile")
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return result{}, errors.Join(errors.Wrap(err, "start profile"), file.Close())
+	}
+	r := load()
+	pprof.StopCPUProfile()
+	return r, errors.Wrap(file.Close(), "write profile")
+}
+
+// hops is the number of processes that a request passes through between caller and back end: ingress and primary.
+const hops = 2
+
+// compare prints a direct and a routed load and the difference.
+func compare(name string, direct, through result) {
+	printResult(name+", direct", direct)
+	printResult(name+", routed", through)
+	fmt.Printf("  %-34s", "  added per hop")
+	for _, q := range quantiles {
+		fmt.Printf(" %9.3f", milliseconds((through.at(q)-direct.at(q))/hops))
+	}
+	fmt.Printf("   throughput ratio %.3f\n", through.throughput()/direct.throughput())
+}
+
+var quantiles = []float64{50, 99, 99.9}
+
+func printResult(name string, r result) {
+	fmt.Printf("  %-34s", name)
+	for _, q := range quantiles {
+		fmt.Printf(" %9.3f", milliseconds(r.at(q)))
+	}
+	fmt.Printf(" %9.0f %9.3f %7d\n", r.throughput(), milliseconds(r.cpuPerRequest()), r.failed)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
