--- a/internal/bench/gotest.go
+++ b/internal/bench/gotest.go
@@ -34,8 +34,8 @@
 func measureDecisions(ctx context.Context) error {
 	var failed error
 	for _, b := range benchmarks {
-		args := []string{"test", "-run", "^$", "-bench", b.pattern, "-benchmem", "-benchtime", b.time, "-cpu", "2"}
-		failed = errors.Join(failed, goTest(ctx, append(args, strings.Fields(b.packages)...), isBenchmark))
+		args := "test -run ^$ -benchmem -cpu 2 -benchtime " + b.time + " -bench " + b.pattern + " " + b.packages
+		failed = errors.Join(failed, goTest(ctx, strings.Fields(args), isBenchmark))
 	}
 	return failed
 }
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"runtime/pprof"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -68,9 +70,49 @@
 			closedLoop(ctx, callers, o.Duration/2, direct), closedLoop(ctx, callers, o.Duration/2, through))
 	}
 	fmt.Printf("  load after: %s\n", loadAverage())
+	return s.printCounters(ctx, client)
+}
+
+// printCounters prints how often the instances returned back ends to one slot, by cause, and repeated requests. On a busy
+// machine this explains queues.
+func (s *site) printCounters(ctx context.Context, client *http.Client) error {
+	sums := map[string]int64{}
+	for _, i := range s.instances {
+		counters, err := readCounters(ctx, client, i.AdminAddress())
+		if err != nil {
+			return err
+		}
+		for name, value := range counters {
+			if strings.HasPrefix(name, "dispatch.cold.") || name == "dispatch.retries" {
+				sums[name] += value.Count
+			}
+		}
+	}
+	fmt.Printf("  counters since the start: %v\n", sums)
 	return nil
 }
 
+type counter struct {
+	Count int64 `json:"count"`
+}
+
+func readCounters(ctx context.Context, client *http.Client, address string) (map[string]counter, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = resp.Body.Close() }() // the body has been read
+	var counters map[string]counter
+	if err := json.NewDecoder(resp.Body).Decode(&counters); err != nil {
+		return nil, errors.Wrap(err, "decode metrics")
+	}
+	return counters, nil
+}
+
 // target selects service and key of a request.
 func (s *site) target(n uint64) (service, key string) {
 	b := int(n>>32) % len(s.backends) // services are used in proportion to their back ends
