--- a/internal/service/dispatch/dispatch.go
+++ b/internal/service/dispatch/dispatch.go
@@ -187,6 +187,9 @@
 		return service.Response{}, true
 	}
 	l.forget(f)
+	if ctx.Err() != nil {
+		return refused(entity.NotRun(entity.ReasonCanceled, "canceled before queueing")), false
+	}
 	return refused(entity.NotRun(entity.ReasonUnreachable, "no instance could keep a copy of the request's key")), false
 }
 
