Test cuts of the network between zones in one process

Cause: the tests on processes bring about failures of the platform, back ends and instances, but no cuts of the network. Ruled out: cuts by the operating system, which need rights and other tools; cuts in a proxy process, which hides when a connection falls silent. Change: internal/e2e/zones runs whole instances with a dial function each, over a network that refuses or silences connections. The invariants on executions moved to internal/e2e/check, where a run that has not ended now counts as overlapping all later ones, and refusals are compared with what ran.

--- /dev/null
+++ b/internal/e2e/check/check.go
@@ -0,0 +1,119 @@
+// Package check holds the invariants that tests of whole sites check on what the back ends' stand-ins recorded.
+package check
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/standin/backend"
+)
+
+// Run is one execution together with the back end on which it ran.
+type Run struct {
+	backend.Execution
+
+	On    string
+	Epoch uint64
+}
+
+// History is all executions of a site by key, in order of their start.
+type History map[string][]Run
+
+// Refusal identifies a request that its caller was told has not run.
+type Refusal struct {
+	RequestID string
+	// IdempotencyKey is empty if the request had none. It must not be used by another request.
+	IdempotencyKey string
+	Reason         string
+}
+
+// NewHistory orders the executions of all back ends, given by the back ends' names.
+func NewHistory(t *testing.T, executions map[string][]backend.Execution) History {
+	t.Helper()
+	byKey := History{}
+	for name, list := range executions {
+		for _, e := range list {
+			epoch, err := strconv.ParseUint(e.Epoch, 10, 64)
+			require.NoError(t, err)
+			byKey[e.Key] = append(byKey[e.Key], Run{Execution: e, On: name, Epoch: epoch})
+		}
+	}
+	for _, list := range byKey {
+		slices.SortFunc(list, func(a, b Run) int { return a.Started.Compare(b.Started) })
+	}
+	return byKey
+}
+
+// Invariants checks what must hold in every run: for each key, epochs never go back from one back end to another, work of
+// two owners never overlaps, no idempotency key runs twice, and no customer's key reaches a back end.
+func (h History) Invariants(t *testing.T) {
+	t.Helper()
+	runs := map[string]int{}
+	for key, list := range h {
+		oneOwner(t, key, list)
+		for _, r := range list {
+			require.Empty(t, r.KeyHeaders, "a customer's key reached back end %s", r.On)
+			if r.IdempotencyKey != "" {
+				runs[r.IdempotencyKey]++
+			}
+		}
+	}
+	for id, n := range runs {
+		require.Equal(t, 1, n, "request %s ran %d times", id, n)
+	}
+}
+
+// NotRun checks that no refused request has run.
+func (h History) NotRun(t *testing.T, refusals []Refusal) {
+	t.Helper()
+	ids, keys := map[string]Run{}, map[string]Run{}
+	for _, list := range h {
+		for _, r := range list {
+			ids[r.RequestID] = r
+			if r.IdempotencyKey != "" {
+				keys[r.IdempotencyKey] = r
+			}
+		}
+	}
+	for _, refusal := range refusals {
+		require.NotEmpty(t, refusal.RequestID, "refusal without request id: %s", refusal.Reason)
+		ran, found := ids[refusal.RequestID]
+		require.False(t, found, "request refused as not run (%s) ran: %+v", refusal.Reason, ran)
+		if refusal.IdempotencyKey != "" {
+			ran, found = keys[refusal.IdempotencyKey]
+			require.False(t, found, "order refused as not run (%s) ran: %+v", refusal.Reason, ran)
+		}
+	}
+}
+
+// oneOwner checks the runs of one key. A run that has not ended overlaps everything that starts after it.
+func oneOwner(t *testing.T, key string, list []Run) {
+	t.Helper()
+	ends := map[string]time.Time{}
+	running := map[string]bool{}
+	highest := Run{}
+	for _, r := range list {
+		if highest.On != "" && r.On != highest.On {
+			require.Greater(t, r.Epoch, highest.Epoch, "key %s ran on %s (epoch %d) after %s (epoch %d)",
+				key, r.On, r.Epoch, highest.On, highest.Epoch)
+		}
+		for other, end := range ends {
+			if other != r.On {
+				require.False(t, running[other] || r.Started.Before(end), "key %s began on %s while it ran on %s", key, r.On, other)
+			}
+		}
+		if r.Ended.After(ends[r.On]) {
+			ends[r.On] = r.Ended
+		}
+		if r.End == backend.EndRunning {
+			running[r.On], ends[r.On] = true, r.Started
+		}
+		if r.Epoch >= highest.Epoch {
+			highest = r
+		}
+	}
+}
--- /dev/null
+++ b/internal/e2e/zones/load_test.go
@@ -0,0 +1,168 @@
+package zones
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pollenpier/pollenpier/internal/e2e/check"
+)
+
+// Outcomes as callers see them.
+const (
+	answered = "answered"
+	notRun   = "not-run"
+)
+
+// answer is what a caller saw.
+type answer struct {
+	zone, key, path    string
+	sent               time.Time
+	outcome, reason    string
+	id, idempotencyKey string
+	err                error
+}
+
+// callDeadline is the time that callers give a request.
+const callDeadline = time.Second
+
+// call sends a request to an instance.
+func call(i *node, address, method, path, key string, header map[string]string) answer {
+	a := answer{zone: i.place.zone, key: key, path: path, sent: time.Now(), idempotencyKey: header["Idempotency-Key"]}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	req.Header.Set("Pollenpier-Customer-Key", customerKey)
+	req.Header.Set("Pollenpier-Key", key)
+	req.Header.Set("Pollenpier-Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	a.err = resp.Body.Close()
+	a.outcome, a.reason = resp.Header.Get("Pollenpier-Outcome"), resp.Header.Get("Pollenpier-Reason")
+	a.id = resp.Header.Get("Pollenpier-Request-Id")
+	return a
+}
+
+// look is an idempotent request.
+func look(i *node, key string) answer {
+	return call(i, i.CallersAddress(), http.MethodGet, "/order/look", key, nil)
+}
+
+// inside is an idempotent request on an internal route.
+func inside(i *node, key string) answer {
+	return call(i, i.internal, http.MethodGet, "/order/inside", key, map[string]string{"Pollenpier-Customer": "florist"})
+}
+
+// book is a request that runs at most once, sent for the first time.
+func book(i *node, key, idempotencyKey string) answer {
+	return call(i, i.CallersAddress(), http.MethodPost, "/order/book", key, map[string]string{
+		"Idempotency-Key": idempotencyKey, "Pollenpier-Age-Ms": "0",
+	})
+}
+
+// load sends requests to all instances until stopped, and keeps the answers.
+type load struct {
+	mu      sync.Mutex
+	answers []answer
+	stop    chan struct{}
+	callers sync.WaitGroup
+}
+
+// callInterval is the pause of each caller between requests.
+const callInterval = 10 * time.Millisecond
+
+// startLoad lets two callers at each instance look up the keys, and book every fifth time.
+func (s *site) startLoad() *load {
+	const callersPerInstance = 2
+	l := &load{stop: make(chan struct{})}
+	for n, i := range s.instances {
+		for c := range callersPerInstance {
+			l.callers.Go(func() { l.run(i, s.keys, n*callersPerInstance+c) })
+		}
+	}
+	return l
+}
+
+func (l *load) run(i *node, keys []string, caller int) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(callInterval):
+		}
+		key := keys[(caller*7+n)%len(keys)]
+		if n%5 == 4 {
+			l.add(book(i, key, fmt.Sprintf("load-%d-%d", caller, n)))
+		} else {
+			l.add(look(i, key))
+		}
+	}
+}
+
+func (l *load) add(a answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers = append(l.answers, a)
+}
+
+// end stops the callers.
+func (l *load) end() {
+	close(l.stop)
+	l.callers.Wait()
+}
+
+// between returns the answers to requests sent to a zone in a period, only for the given keys if there are any.
+func (l *load) between(zone string, from, to time.Time, keys ...string) []answer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, key := range keys {
+		wanted[key] = true
+	}
+	var list []answer
+	for _, a := range l.answers {
+		if a.zone == zone && a.sent.After(from) && a.sent.Before(to) && (len(keys) == 0 || wanted[a.key]) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// refusals returns the requests that were answered as not run.
+func (l *load) refusals() []check.Refusal {
+	var list []check.Refusal
+	for _, a := range l.answers {
+		if a.outcome == notRun {
+			list = append(list, check.Refusal{RequestID: a.id, IdempotencyKey: a.idempotencyKey, Reason: a.reason})
+		}
+	}
+	return list
+}
+
+// counts returns the number of answers by zone, outcome and reason.
+func (l *load) counts() map[string]int {
+	counts := map[string]int{}
+	for _, a := range l.answers {
+		counts[describe(a)]++
+	}
+	return counts
+}
+
+func describe(a answer) string {
+	if a.err != nil {
+		return a.zone + " connection error"
+	}
+	return a.zone + " " + a.outcome + " " + a.reason
+}
