Let an instance outside the roster find its zone's token server

Cause: a token server was found by the votes that an instance gives or by an answer that named it. An instance that starts while the platform is down cannot join a lease group, so it knew no server, asked nobody, and refused every request on routes open to all as rate-limited until the platform was back. Ruled out: missing configuration or shares (the instance was ready and knew its limits), refusal by the token server (it was never asked). Change: without a known holder, the members of the zone are asked in turn; a member's answer names the holder. Tokens still come from the holder only. Conclusion: admission no longer depends on the roster; over-admission is bounded by the server as before.

--- a/internal/service/admission/calls.go
+++ b/internal/service/admission/calls.go
@@ -21,6 +21,8 @@
 type calls struct {
 	// asked is the instance that the last answer named instead of itself.
 	asked entity.InstanceID
+	// guesses counts the calls without a known token server.
+	guesses int
 	// pausedUntil is the time before which no call is made, after a failed one.
 	pausedUntil time.Duration
 	failing     bool
@@ -95,13 +97,19 @@
 	return needed
 }
 
-// serverAddress returns the peer address of the token server.
+// serverAddress returns the peer address of the token server, or of an instance of the zone that may know it.
 func (s *Service) serverAddress() (string, bool) {
+	if s.view == nil {
+		return "", false
+	}
 	id := s.calls.asked
 	if id == "" || id == s.self.ID {
 		id = s.holder()
 	}
-	if s.view == nil || id == "" || id == s.self.ID {
+	if id == "" {
+		return s.guessAddress()
+	}
+	if id == s.self.ID {
 		return "", false
 	}
 	for _, m := range s.view.Members {
@@ -112,6 +120,22 @@
 	return "", false
 }
 
+// guessAddress returns the address of the members of the zone in turn. An instance outside the lease group that holds the
+// token lease hears no votes, as one that started while the platform is down; a member's answer names the holder to it.
+func (s *Service) guessAddress() (string, bool) {
+	var addresses []string
+	for _, m := range s.view.Members {
+		if m.Zone == s.self.Zone && m.ID != s.self.ID {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return "", false
+	}
+	s.calls.guesses++
+	return addresses[s.calls.guesses%len(addresses)], true
+}
+
 func (s *Service) finishCall(turn *kernel.Turn, m callDone) {
 	now := turn.Now()
 	if m.err != nil || !m.response.Holder {
