--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -146,7 +146,7 @@
 #define drained(b) (running[b] == 0)
 #endif
 
-/* Session.Revoke: the old owner's primary has stopped sending and the back end runs nothing. */
+/* backend.Client.Revoke: the old owner's primary has stopped sending and the back end runs nothing. */
 inline revoke(r) {
     d_step { (may_act(r) && owner[pos[r]] == r && to[pos[r]] != NONE && revoked[r] != epoch[pos[r]] &&
         drained(r)) ->
@@ -156,7 +156,7 @@
         revoked[r] = epoch[pos[r]] }
 }
 
-/* Control on service.ReleaseReady. */
+/* control, releases.release, on service.ReleaseReady. */
 inline decide_release(r) {
     d_step { record[r] == 0 && owner[pos[r]] == r && to[pos[r]] != NONE && revoked[r] == epoch[pos[r]] ->
         decide(r, RELEASE) }
@@ -197,7 +197,7 @@
 #define may_renew(r) may_act(r)
 #endif
 
-/* Session service: the session carries all partitions of the back end, so it is renewed whoever owns this one. */
+/* Session service (backend.Client.RenewSession): the session carries all partitions of the back end, so it is renewed whoever owns this one. */
 inline renew_session(r) {
     d_step { (session[r] < SESSION && may_renew(r)) -> session[r] = SESSION }
 }
