--- a/internal/records/bench_test.go
+++ b/internal/records/bench_test.go
@@ -33,7 +33,9 @@
 		payloads := moves(b, count, steps)
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			for b.Loop() {
+				b.StopTimer()
 				state := assigned(b, count)
+				b.StartTimer()
 				for i, payload := range payloads {
 					record, err := records.Decode(payload)
 					require.NoError(b, err)
