--- a/internal/service/dispatch/lane.go
+++ b/internal/service/dispatch/lane.go
@@ -53,7 +53,8 @@
 	collections map[outcome.PartitionKey]*collection
 	outbox      []outcome.Record // records to copy to a peer in the background
 	copying     bool
-	peer        atomic.Int32 // index of the peer that took the last copy
+	repairAt    time.Duration // when all records are given to a member again, zero if that is not planned
+	peer        atomic.Int32  // index of the peer that took the last copy
 
 	drained map[outcome.PartitionKey]entity.Epoch // nothing is sent up to these epochs
 	drains  []*pendingDrain
@@ -157,6 +158,16 @@
 	return l.idle
 }
 
+// resume takes requests again after a stop, unless the whole service stops.
+func (l *lane) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped && !l.svc.stopping.Load() {
+		l.stopped = false
+		l.idle = make(chan struct{})
+	}
+}
+
 // admit counts a request in. It fails while the lane stops or holds too many bytes of bodies.
 func (l *lane) admit(f *flight) (entity.Outcome, bool) {
 	l.mu.Lock()
--- a/internal/service/lease/service.go
+++ b/internal/service/lease/service.go
@@ -66,10 +66,11 @@
 	peers         map[entity.InstanceID]*peer
 
 	// group holds this instance's vote and claims in its lease group, key.
-	group  *lease.Participant
-	key    ownership.GroupKey
-	member bool
-	report rosterReport
+	group     *lease.Participant
+	key       ownership.GroupKey
+	member    bool
+	report    rosterReport
+	misplaced misplaced
 
 	// zones holds the zone's vote and claims. Invariant: it is nil unless this instance gained the delegate lease and has
 	// not seen it end.
@@ -152,7 +153,21 @@
 	return s.kernel.Deliver(ctx, service.Lease, heartbeatDue{})
 }
 
-// Stop does nothing: leases that StopLeases has not released lapse.
+// Drain releases all leases, so that the other members take them over at once. Dispatch has drained before.
+func (s *Service) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	if err := s.kernel.Deliver(ctx, service.Lease, service.StopLeases{Done: done}); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "release leases")
+	}
+}
+
+// Stop does nothing: leases that Drain has not released lapse.
 func (s *Service) Stop(context.Context) error { return nil }
 
 // Leases returns the published leases.
