Wait for handled messages before a test moves the clocks

Cause: the test of the complete copy failed about once in 20 runs: a node handled the change of its members only after the test had moved its clock, so that the removed member counted as removed just now. Printed horizons showed it.

Change: the test waits until each node has handled its messages.

Conclusion: the fault was in the test; the horizon was right.

--- a/internal/service/dispatch/harness_test.go
+++ b/internal/service/dispatch/harness_test.go
@@ -223,6 +223,13 @@
 	n.deliver(service.ConfigChanged{Config: testConfig(slots), Version: 1})
 	n.deliver(service.OwnershipChanged{View: testView("", 0, members)})
 	n.deliver(service.OwnershipChanged{View: testView(testBackend, testEpoch, members)})
+	n.settle()
+}
+
+// settle waits until the node has handled all earlier messages: they are handled in order, and the last one is answered.
+func (n *node) settle() {
+	n.deliver(service.DrainPartitions{Backend: "other"})
+	n.await(n.session)
 }
 
 // lead makes the node the primary.
@@ -232,9 +239,7 @@
 		FreshUntil: farAway,
 	})
 	n.deliver(service.LeaseChanged{View: n.leases.view.Load()})
-	// The messages are handled in order, so the answer to this drain shows that the lease change was handled.
-	n.deliver(service.DrainPartitions{Backend: "other"})
-	n.await(n.session)
+	n.settle()
 }
 
 // yield takes the lease away.
--- a/internal/service/dispatch/outcome_test.go
+++ b/internal/service/dispatch/outcome_test.go
@@ -455,8 +455,9 @@
 		net.nodes[string(id)].setUp(1, members...)
 	}
 	n.lead(1)
-	for _, id := range members {
-		net.nodes[string(id)].clock.ahead.Add(int64(10 * time.Second))
+	// The primary's clock comes last: it makes the copy as soon as its own time has come.
+	for _, id := range []string{"i2", "i4", "i1"} {
+		net.nodes[id].clock.ahead.Add(int64(10 * time.Second))
 	}
 	require.Eventually(t, func() bool {
 		return net.nodes["i2"].hasCompleteCopy() || net.nodes["i4"].hasCompleteCopy()
