Keep retries of unknown outcomes to a budget in the gateway

Cause: an idempotent request whose connection broke was tried again until its deadline, so that a back end that breaks every connection got up to 12 times its load from each caller.

Change: such retries take from a budget of a tenth of the requests. Refusals that certainly did not reach a back end are tried again as before.

--- a/internal/service/gateway/gateway.go
+++ b/internal/service/gateway/gateway.go
@@ -59,6 +59,7 @@
 	open, internal *listener
 	slots          chan struct{}
 	hints          sync.Map // entity.BackendID to entity.InstanceID: the last known primary
+	budget         budget
 	stopping       atomic.Bool
 }
 
--- a/internal/service/gateway/route.go
+++ b/internal/service/gateway/route.go
@@ -32,12 +32,17 @@
 	if outcome.Kind != entity.OutcomeAnswered {
 		return service.Response{Outcome: outcome}
 	}
+	g.budget.request()
 	backoff := minBackoff
 	for {
 		resp := g.attempt(ctx, req, body)
 		if !again(req, resp, body) {
 			return resp
 		}
+		// Only a request that may have reached a back end adds load by another attempt.
+		if resp.Outcome.Kind == entity.OutcomeUnknown && !g.budget.take() {
+			return resp
+		}
 		g.metrics.retries.Inc(1)
 		if !pause(ctx, backoff) {
 			return resp
--- /dev/null
+++ b/internal/service/gateway/route_test.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/decide/routing"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/kernel"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/operator"
+)
+
+// fakes stand for the services that the gateway looks up.
+type fakes struct {
+	snapshot *routing.Snapshot
+	sent     []entity.InstanceID
+	answer   func(n int, to string, req *service.Request) service.Response
+}
+
+func (f *fakes) Routing() *routing.Snapshot { return f.snapshot }
+func (f *fakes) Leases() *service.LeaseView { return nil }
+
+func (f *fakes) Forward(_ context.Context, address string, req *service.Request) service.Response {
+	f.sent = append(f.sent, entity.InstanceID(address))
+	return f.answer(len(f.sent), address, req)
+}
+
+func (f *fakes) Dispatch(context.Context, *service.Request) service.Response {
+	return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, "not expected")}
+}
+
+// newTestGateway returns a gateway with one back end whose lease group has the instances i1 to i3 at addresses of the same
+// names.
+func newTestGateway(t *testing.T, answer func(n int, to string, req *service.Request) service.Response) (*Gateway, *fakes) {
+	t.Helper()
+	config := (&operator.Config{
+		Zones: []operator.Zone{{Name: "a"}},
+		Services: []operator.Service{{
+			Name: "order", Partitions: 1,
+			Routes:   []operator.Route{{Path: "/", Kind: operator.RouteIdempotent, Access: operator.AccessOpen}},
+			Backends: []operator.Backend{{Name: "b", Zone: "a", Address: "127.0.0.1:1", Slots: 1}},
+		}},
+	}).WithDefaults()
+	view := &ownership.View{Services: map[entity.ServiceName]*ownership.ServiceView{
+		"order": {Count: 1, Owners: []ownership.Owner{{Backend: "b", Epoch: 5}}},
+	}}
+	for _, id := range []string{"i1", "i2", "i3"} {
+		view.Members = append(view.Members, ownership.Member{ID: entity.InstanceID(id), Zone: "a", Address: id})
+	}
+	f := &fakes{snapshot: routing.Build(config, 1, view), answer: answer}
+	g := New(service.Self{ID: "self"}, Settings{}, zap.NewNop(), metrics.NewRegistry())
+	g.routing, g.leases, g.forward, g.dispatch = f, f, f, f
+	k, err := kernel.New(kernel.NewSystemClock(), nil)
+	require.NoError(t, err)
+	g.kernel = k
+	return g, f
+}
+
+func testRequest(idempotent bool, body string) *service.Request {
+	return &service.Request{
+		ID: "r", Service: "order", Key: "k", Method: "POST", Path: "/", Body: strings.NewReader(body),
+		Length: int64(len(body)), Deadline: time.Second, Idempotent: idempotent,
+	}
+}
+
+func answered() service.Response {
+	return service.Response{Outcome: entity.Answered(), Status: 200, Body: io.NopCloser(strings.NewReader(""))}
+}
+
+// Guards against a caller that sees a failover: refusals that pass by themselves are tried again with the whole body.
+func TestRefusedRequestIsTriedAgainWithItsBody(t *testing.T) {
+	reasons := []entity.Reason{
+		entity.ReasonNotHolder, entity.ReasonUnreachable, entity.ReasonFenced, entity.ReasonLeaseLost, entity.ReasonStopping,
+	}
+	g, _ := newTestGateway(t, func(n int, _ string, req *service.Request) service.Response {
+		body, err := io.ReadAll(req.Body)
+		if err != nil || string(body) != "petals" || req.Epoch != 5 {
+			return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, "wrong request")}
+		}
+		if n <= len(reasons) {
+			return service.Response{Outcome: entity.NotRun(reasons[n-1], "")}
+		}
+		return answered()
+	})
+	resp := g.route(context.Background(), testRequest(false, "petals"))
+	require.Equal(t, entity.Answered(), resp.Outcome)
+}
+
+// Guards against a second run of a request whose outcome is unknown.
+func TestUnknownOutcomeIsNotTriedAgainUnlessIdempotent(t *testing.T) {
+	broken := func(int, string, *service.Request) service.Response {
+		return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, "")}
+	}
+	g, f := newTestGateway(t, broken)
+	resp := g.route(context.Background(), testRequest(false, "x"))
+	require.Equal(t, entity.OutcomeUnknown, resp.Outcome.Kind)
+	require.Len(t, f.sent, 1)
+}
+
+// Guards against a retry storm: with a back end that always breaks, retries stay within a tenth of the requests.
+func TestRetriesOfUnknownOutcomesKeepToTheBudget(t *testing.T) {
+	g, f := newTestGateway(t, func(int, string, *service.Request) service.Response {
+		return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, "")}
+	})
+	const requests = 100
+	for range requests {
+		g.route(context.Background(), testRequest(true, "x"))
+	}
+	require.LessOrEqual(t, len(f.sent), requests+requests/10)
+	require.Greater(t, len(f.sent), requests)
+}
+
+// Guards against requests that keep asking an instance that is not the primary although it names the one that is.
+func TestHolderNamedInRefusalIsAskedNext(t *testing.T) {
+	g, f := newTestGateway(t, func(_ int, to string, _ *service.Request) service.Response {
+		if to == "i2" {
+			return answered()
+		}
+		return service.Response{Outcome: entity.NotRun(entity.ReasonNotHolder, ""), Holder: "i2"}
+	})
+	for range 3 {
+		require.Equal(t, entity.Answered(), g.route(context.Background(), testRequest(false, "")).Outcome)
+	}
+	require.LessOrEqual(t, len(f.sent), 4, "the primary was not remembered: %v", f.sent)
+}
+
+// Guards against another attempt with half a body: a streamed body that has been read cannot be sent again.
+func TestStreamedBodyIsSentOnce(t *testing.T) {
+	g, f := newTestGateway(t, func(_ int, _ string, req *service.Request) service.Response {
+		if _, err := io.CopyN(io.Discard, req.Body, 10); err != nil {
+			return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, err.Error())}
+		}
+		return service.Response{Outcome: entity.NotRun(entity.ReasonFenced, "")}
+	})
+	req := testRequest(false, strings.Repeat("x", replayLimit+1))
+	resp := g.route(context.Background(), req)
+	require.Equal(t, entity.ReasonFenced, resp.Outcome.Reason)
+	require.Len(t, f.sent, 1)
+}
