Do not reuse peer connections that a cut has silenced

Cause: a call that ends by its deadline cancels softly and returns its connection to the pool. After a cut of the network the pool kept handing out connections on which nothing arrives any more: each call that took one was lost until its deadline, also after the cut had healed, and each use renewed the connection's time in the pool. Ruled out: leases and authority (the zone took part again 5.6 s after healing in both cases), routing (the owners were known), back ends (their connections are closed by net/http when a request is given up). Change: the pool discards a connection whose last call took 50 ms or longer without a byte from the peer. A new connection costs about 1 ms; a call that is canceled earlier keeps its connection. The unit test fails without the bound: 1 dial instead of 3. Conclusion: forwards fail once per connection at the most. What remains after a zone's return is the 5 s until it counts as back and the time until its share of the rates is returned.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-faster/errors"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 
@@ -30,13 +29,13 @@
 
 // pool keeps connections to peers by address.
 type pool struct {
-	conns *drpcpool.Pool[string, *drpcconn.Conn]
+	conns *drpcpool.Pool[string, *pooledConn]
 	open  network.DialFunc
 }
 
 func newPool(dial network.DialFunc) *pool {
 	return &pool{
-		conns: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+		conns: drpcpool.New[string, *pooledConn](drpcpool.Options{
 			Expiration:  idleTimeout,
 			KeyCapacity: connectionsPerPeer,
 		}),
@@ -49,12 +48,12 @@
 	return p.conns.Get(ctx, address, p.dial)
 }
 
-func (p *pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (p *pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	raw, err := p.open(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Join(ErrDial, err)
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+	return newPooledConn(raw), nil
 }
 
 func (p *pool) close() error { return p.conns.Close() }
