Send more traffic to the keys of a cut zone

Ruled out: fewer keys of other zones in the general load, which would test the takeover less. Change: callers of their own for the zone's keys, and the time at which all keys are served again is logged. Conclusion: the check of the stop no longer rests on a few requests.

--- a/internal/e2e/zones/cuts_test.go
+++ b/internal/e2e/zones/cuts_test.go
@@ -35,6 +35,7 @@
 	s := newSite(t, threeZones())
 	own := s.keysOn("a1")
 	l := s.startLoad()
+	l.callAt(s.in("a"), own)
 	time.Sleep(time.Second)
 	s.net.begin(zoneCut("a"))
 	cutAt := time.Now()
@@ -49,6 +50,7 @@
 	s.eventually(func() bool { return startedAfter(s.backends["a1"], healed) > 0 }, "the zone does not take part again")
 	t.Logf("the zone takes part again %v after healing", time.Since(healed))
 	s.waitServed(s.instances, s.keys)
+	t.Logf("all instances serve all keys %v after healing", time.Since(healed))
 	s.finish(l)
 }
 
@@ -101,6 +103,7 @@
 	s := newSite(t, threeZones())
 	others := append(s.keysOn("b1"), s.keysOn("c1")...)
 	l := s.startLoad()
+	l.callAt(s.in("a"), s.keysOn("a1"))
 	time.Sleep(time.Second)
 	s.net.begin(platformCut())
 	s.net.begin(zoneCut("a"))
@@ -111,7 +114,9 @@
 	end := time.Now().Add(-callDeadline)
 	require.Zero(t, startedAfter(s.backends["a1"], stopped), "the cut zone went on beyond cutoff_hold")
 	s.net.heal()
+	healed := time.Now()
 	s.waitServed(s.instances, s.keys)
+	t.Logf("all instances serve all keys %v after healing", time.Since(healed))
 	s.finish(l)
 	for _, zone := range []string{"b", "c"} {
 		requireAnswered(t, l.between(zone, cutAt, end, others...))
--- a/internal/e2e/zones/load_test.go
+++ b/internal/e2e/zones/load_test.go
@@ -95,6 +95,15 @@
 	return l
 }
 
+// callAt adds a caller at each of some instances who uses some keys only. A caller in a cut zone otherwise spends most of
+// its time on keys of other zones.
+func (l *load) callAt(instances []*node, keys []string) {
+	const firstCaller = 100 // above the callers of startLoad
+	for n, i := range instances {
+		l.callers.Go(func() { l.run(i, keys, firstCaller+n) })
+	}
+}
+
 func (l *load) run(i *node, keys []string, caller int) {
 	for n := 0; ; n++ {
 		select {
@@ -160,6 +169,23 @@
 	return counts
 }
 
+// timeline returns the first and last second of the load in which each kind of answer was not an answer of a back end.
+func (l *load) timeline() map[string][2]int {
+	seconds := map[string][2]int{}
+	for _, a := range l.answers {
+		if a.outcome == answered {
+			continue
+		}
+		second := int(a.sent.Sub(l.answers[0].sent) / time.Second)
+		span, seen := seconds[describe(a)]
+		if !seen {
+			span = [2]int{second, second}
+		}
+		seconds[describe(a)] = [2]int{min(span[0], second), max(span[1], second)}
+	}
+	return seconds
+}
+
 func describe(a answer) string {
 	if a.err != nil {
 		return a.zone + " connection error"
--- a/internal/e2e/zones/site_test.go
+++ b/internal/e2e/zones/site_test.go
@@ -251,6 +251,7 @@
 	s.t.Helper()
 	l.end()
 	s.t.Logf("seen: %v", l.counts())
+	s.t.Logf("not answered, by second: %v", l.timeline())
 	history := s.history()
 	history.Invariants(s.t)
 	history.NotRun(s.t, l.refusals())
--- a/internal/peer/pooled.go
+++ b/internal/peer/pooled.go
@@ -66,7 +66,7 @@
 // Closed implements drpc.Conn. The pool asks between calls whether the connection can be used again.
 func (c *pooledConn) Closed() <-chan struct{} {
 	if c.raw.received.Load() == c.received && time.Since(c.started) >= silentAfter {
-		go func() { _ = c.Conn.Close() }() // waits for the connection's reader
+		go func() { _ = c.Close() }() // waits for the connection's reader
 		return discarded
 	}
 	return c.Conn.Closed()
