Send the request in flight before the load in the test of a frozen back end

Cause: with 20 s of work per request, the load's requests held all slots of the back end, and in one of four runs the request that the test waits for never got one. Ruled out: a lost request (its caller waited in the back end's queue). Change: the load starts once the request runs. Conclusion: the check is unchanged and no longer depends on who gets a slot first.

--- a/internal/e2e/zones/cuts_test.go
+++ b/internal/e2e/zones/cuts_test.go
@@ -187,9 +187,7 @@
 	layout.options.ChecksTokens = false
 	s := newSite(t, layout)
 	own := s.keysOn("a1")
-	l := s.startLoad()
 	s.backends["a1"].SetFaults(backend.Faults{LatencyMs: int(10 * maxRun / time.Millisecond)})
-	time.Sleep(100 * time.Millisecond)
 	sent := time.Now()
 	inFlight := make(chan answer, 1)
 	go func() {
@@ -206,6 +204,7 @@
 		}
 		return false
 	}, "the request does not run")
+	l := s.startLoad() // not before, since slow requests of the load would take the slots
 	s.backends["a1"].SetFaults(backend.Faults{Freeze: true, LatencyMs: int(10 * maxRun / time.Millisecond)})
 	s.waitServed(s.in("b"), own)
 	t.Logf("keys served again %v after the request was sent", time.Since(sent))
