Look for primaries in the lease group that holds the leases

Cause: routing chose a back end's lease group by hash over all groups of the zone, but only members of group 0 claim leases. In a zone with six instances a part of the keys was never served (503 not-holder).

Ruled out: letting every group claim the back ends that hash to it, since the groups share no voter and a new group could hold a lease together with the old one.

Before: TestZoneWithTwoLeaseGroups failed after 30 s. After: passes.

--- a/internal/decide/ownership/view.go
+++ b/internal/decide/ownership/view.go
@@ -49,6 +49,11 @@
 	Group   uint32 // lease group within the zone
 }
 
+// ClaimingGroup is the lease group of each zone whose members hold the zone's leases, and so the only one with primaries.
+// Leases must not move between groups without a record of the log that both groups have seen, so all belong to the first
+// group. Members of other groups take callers' requests and forward them.
+const ClaimingGroup uint32 = 0
+
 // GroupKey identifies a lease group.
 type GroupKey struct {
 	Zone  entity.Zone
--- a/internal/decide/routing/order.go
+++ b/internal/decide/routing/order.go
@@ -14,25 +14,15 @@
 
 // roster groups the members of a view.
 type roster struct {
-	groups  map[entity.Zone][]uint32 // sorted
 	members map[ownership.GroupKey][]ownership.Member
 }
 
 func newRoster(view *ownership.View) *roster {
-	r := &roster{
-		groups:  map[entity.Zone][]uint32{},
-		members: map[ownership.GroupKey][]ownership.Member{},
-	}
+	r := &roster{members: map[ownership.GroupKey][]ownership.Member{}}
 	for _, m := range view.Members {
 		key := ownership.GroupKey{Zone: m.Zone, Group: m.Group}
-		if _, ok := r.members[key]; !ok {
-			r.groups[m.Zone] = append(r.groups[m.Zone], m.Group)
-		}
 		r.members[key] = append(r.members[key], m)
 	}
-	for _, groups := range r.groups {
-		slices.Sort(groups)
-	}
 	return r
 }
 
@@ -43,8 +33,7 @@
 	known  map[entity.BackendID]choice
 	roster *roster
 	chosen map[entity.BackendID]choice
-	// sameGroups and sameMembers hold what the two rosters have in common.
-	sameGroups  map[entity.Zone]bool
+	// sameMembers holds what the two rosters have in common.
 	sameMembers map[ownership.GroupKey]bool
 }
 
@@ -61,10 +50,6 @@
 		o.former = newRoster(&ownership.View{})
 	}
 	o.roster, o.chosen = newRoster(view), make(map[entity.BackendID]choice, len(o.known))
-	o.sameGroups = make(map[entity.Zone]bool, len(o.roster.groups))
-	for zone, groups := range o.roster.groups {
-		o.sameGroups[zone] = slices.Equal(o.former.groups[zone], groups)
-	}
 	o.sameMembers = make(map[ownership.GroupKey]bool, len(o.roster.members))
 	for key, members := range o.roster.members {
 		o.sameMembers[key] = slices.Equal(o.former.members[key], members)
@@ -74,12 +59,8 @@
 // candidates returns the members of the lease group that serves a back end, best first.
 func (o *askOrder) candidates(id entity.BackendID, zone entity.Zone) []ownership.Member {
 	c, known := o.known[id]
-	if !known || c.key.Zone != zone || !o.sameGroups[zone] {
-		group, ok := rendezvous.Group(backendLeasePrefix+string(id), o.roster.groups[zone])
-		if !ok {
-			return nil
-		}
-		c, known = choice{key: ownership.GroupKey{Zone: zone, Group: group}}, false
+	if !known || c.key.Zone != zone {
+		c, known = choice{key: ownership.GroupKey{Zone: zone, Group: ownership.ClaimingGroup}}, false
 	}
 	if !known || !o.sameMembers[c.key] {
 		c.candidates = rendezvous.OrderBy(backendLeasePrefix+string(id), o.roster.members[c.key],
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -107,3 +107,19 @@
 	require.Empty(t, failures)
 	require.Zero(t, stopped.cmd.ProcessState.ExitCode(), stopped.log.String())
 }
+
+// Guards against requests that never find a primary in a zone with more instances than one lease group takes.
+func TestZoneWithTwoLeaseGroups(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1", "a2", "a3", "a4", "a5", "a6"}}, true)
+	for range 6 {
+		s.addInstance("a")
+	}
+	keys := manyKeys(40)
+	s.waitServed(keys)
+	for _, i := range s.instances {
+		for _, key := range keys {
+			require.Equal(t, "answered", look(i.callers, key).outcome)
+		}
+	}
+	s.checkInvariants()
+}
--- a/internal/service/lease/authority.go
+++ b/internal/service/lease/authority.go
@@ -150,7 +150,7 @@
 	if c == nil || s.view == nil {
 		return
 	}
-	members := s.view.Group(ownership.GroupKey{Zone: zone, Group: claimingGroup})
+	members := s.view.Group(ownership.GroupKey{Zone: zone, Group: ownership.ClaimingGroup})
 	if len(members) == 0 {
 		return
 	}
--- a/internal/service/lease/heartbeat.go
+++ b/internal/service/lease/heartbeat.go
@@ -49,7 +49,7 @@
 		return
 	}
 	s.sendToGroup(t, append(effects.Claims, effects.Releases...), false)
-	if s.key.Group != claimingGroup || !s.member {
+	if s.key.Group != ownership.ClaimingGroup || !s.member {
 		s.sendToClaimingGroup(t)
 	}
 }
@@ -73,7 +73,7 @@
 
 // sendToClaimingGroup lets an instance outside the zone's first group learn what that group relays, and be seen by it.
 func (s *Service) sendToClaimingGroup(t *kernel.Turn) {
-	for _, m := range s.view.Group(ownership.GroupKey{Zone: s.self.Zone, Group: claimingGroup}) {
+	for _, m := range s.view.Group(ownership.GroupKey{Zone: s.self.Zone, Group: ownership.ClaimingGroup}) {
 		s.send(t, call{to: m.ID, address: m.Address, zone: m.Zone})
 	}
 }
--- a/internal/service/lease/roster.go
+++ b/internal/service/lease/roster.go
@@ -16,10 +16,6 @@
 	"github.com/pollenpier/pollenpier/operator"
 )
 
-// claimingGroup is the lease group whose members hold the zone's leases. Names must not move between groups without a
-// record of the log that both groups have seen, so all names belong to the first group.
-const claimingGroup = 0
-
 // rosterReport collects which members have reported the roster version of the group.
 type rosterReport struct {
 	version uint64
@@ -142,7 +138,7 @@
 // moved.
 func (s *Service) want(t *kernel.Turn) {
 	var wanted []lease.Name
-	if s.key.Group == claimingGroup && s.config != nil && !s.confirmedLost(s.self.Zone) {
+	if s.key.Group == ownership.ClaimingGroup && s.config != nil && !s.confirmedLost(s.self.Zone) {
 		wanted = append(wanted, lease.Name(service.DelegateLease(s.self.Zone)))
 		for shard := range s.settings.TokenShards {
 			wanted = append(wanted, lease.Name(service.TokenLease(shard)))
