Drop a release after a wait once somebody attends to the owner again

Cause: a release after the wait for an unattended owner was conditional on the epoch alone. Two more faults of the same kind: a second loss of a zone in one read kept the start of the first wait, and a zone declared itself back on the strength of a connection older than its loss.

Ruled out: a check of freshness before the append alone, since the pause can fall between check and append.

Change: such a release names the last change of members and lost zones on which it was decided, and replay drops it when that has passed. Waits begin with the offset of the loss, and the time of connection with the loss.

--- /dev/null
+++ b/internal/decide/ownership/attendance_test.go
@@ -0,0 +1,46 @@
+package ownership_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
+	"github.com/pollenpier/pollenpier/internal/entity"
+)
+
+// Guards against two owners after a pause: an instance that waited for an unattended owner and was paused before its append
+// must not release after somebody attends to the owner again.
+func TestReleaseAfterAWaitIsDroppedOnceSomebodyAttends(t *testing.T) {
+	s := ownership.New()
+	next := entity.Offset(0)
+	apply := func(r ownership.Record) ownership.Verdict {
+		defer func() { next++ }()
+		return s.Apply(next, ownership.Stamp{Writer: "w", Sequence: uint64(next) + 1}, r)
+	}
+	apply(ownership.Checkpoint{})
+	join := func(id, zone string) {
+		member := ownership.Member{ID: entity.InstanceID(id), Zone: entity.Zone(zone), Address: id}
+		key := ownership.GroupKey{Zone: member.Zone}
+		require.True(t, apply(ownership.Join{Version: s.View().GroupVersions[key], Member: member}).Applied)
+	}
+	for _, zone := range []string{"a", "b", "c"} {
+		join("i-"+zone, zone)
+	}
+	require.True(t, apply(ownership.Move{Service: "s", Count: 1, Steps: []ownership.MoveStep{{To: "b1"}}}).Applied)
+	owner := s.View().Services["s"].Owners[0]
+	move := ownership.Move{Service: "s", Version: s.View().Services["s"].Version, Count: 1, Steps: []ownership.MoveStep{{To: "b2"}}}
+	require.True(t, apply(move).Applied)
+	for _, from := range []entity.Zone{"b", "c"} {
+		require.True(t, apply(ownership.ZoneLost{Zone: "a", From: from, Version: s.View().ZonesVersion}).Applied)
+	}
+	waited := ownership.Release{
+		Service: "s", Steps: []ownership.ReleaseStep{{Epoch: owner.Epoch}}, Waited: s.View().Attendance,
+	}
+	require.True(t, apply(ownership.ZoneBack{Zone: "a", From: "a", Version: s.View().ZonesVersion}).Applied)
+	require.Equal(t, ownership.Verdict{Reason: ownership.DropVersion}, apply(waited))
+	require.Equal(t, entity.BackendID("b1"), s.View().Services["s"].Owners[0].Backend)
+	waited.Waited = s.View().Attendance
+	require.True(t, apply(waited).Applied)
+	require.Equal(t, entity.BackendID("b2"), s.View().Services["s"].Owners[0].Backend)
+}
--- a/internal/decide/ownership/partitions.go
+++ b/internal/decide/ownership/partitions.go
@@ -136,6 +136,9 @@
 	if !known {
 		return dropped(DropEpoch)
 	}
+	if r.Waited != 0 && r.Waited != s.attendance() {
+		return dropped(DropVersion)
+	}
 	current := slices.ContainsFunc(r.Steps, service.view.releases)
 	if !current {
 		return dropped(DropEpoch)
--- a/internal/decide/ownership/record.go
+++ b/internal/decide/ownership/record.go
@@ -93,6 +93,10 @@
 type Release struct {
 	Service entity.ServiceName
 	Steps   []ReleaseStep
+	// Waited is the Attendance of the view on which the writer waited for owners that nobody attends to. If members or lost
+	// zones have changed since, somebody may attend to them again, and replay drops the record. Zero means that the primary
+	// of the owners gave the proof.
+	Waited entity.Offset
 }
 
 // HotKeys adds and removes virtual partitions for single keys.
--- a/internal/decide/ownership/zones.go
+++ b/internal/decide/ownership/zones.go
@@ -113,6 +113,15 @@
 	s.cached.LostVotes = nil
 }
 
+// attendance returns the offset of the last change of members or lost zones that is still in the state.
+func (s *State) attendance() entity.Offset {
+	last := s.zones.version
+	for _, version := range s.groups {
+		last = max(last, entity.Offset(version))
+	}
+	return last
+}
+
 func (s *State) memberZones() map[entity.Zone]bool {
 	zones := map[entity.Zone]bool{}
 	for _, m := range s.members {
--- a/internal/service/control/releases.go
+++ b/internal/service/control/releases.go
@@ -27,7 +27,7 @@
 	guards map[entity.ServiceName]map[entity.Partition]time.Duration
 	// moving are the partitions that move, by service, and the view that they were taken from.
 	moving map[entity.ServiceName]movingPartitions
-	lostAt map[entity.Zone]time.Duration
+	lost   lossTimes
 	// nextLook is when the waits for unattended owners are looked at again.
 	nextLook time.Duration
 }
@@ -50,7 +50,7 @@
 		ready:    map[entity.ServiceName]map[ownership.ReleaseStep]bool{},
 		guards:   map[entity.ServiceName]map[entity.Partition]time.Duration{},
 		moving:   map[entity.ServiceName]movingPartitions{},
-		lostAt:   map[entity.Zone]time.Duration{},
+		lost:     lossTimes{},
 	}
 }
 
@@ -79,15 +79,7 @@
 			delete(r.guards, name)
 		}
 	}
-	for zone := range v.LostZones {
-		if _, known := r.lostAt[zone]; !known {
-			r.lostAt[zone] = now
-		}
-	}
-	maps.DeleteFunc(r.lostAt, func(zone entity.Zone, _ time.Duration) bool {
-		_, lost := v.LostZones[zone]
-		return !lost
-	})
+	r.lost.applied(now, v)
 }
 
 func (r *releases) collect(name entity.ServiceName, view *ownership.ServiceView) map[ownership.ReleaseStep]*movingStep {
@@ -198,7 +190,7 @@
 		if len(steps) > 0 {
 			telemetry.EventControlLapsedRelease.Log(r.logger,
 				zap.String("service", string(name)), zap.Int("partitions", len(steps)))
-			return ownership.Release{Service: name, Steps: sortedSteps(steps)}
+			return ownership.Release{Service: name, Steps: sortedSteps(steps), Waited: s.view.Attendance}
 		}
 	}
 	return nil
@@ -217,11 +209,11 @@
 		wait += maxRun
 	}
 	zone := entity.Zone(backend.Zone)
-	if lostAt, lost := r.lostAt[zone]; configured && lost {
+	if loss, lost := r.lost[zone]; configured && lost {
 		if s.config.zones[zone] == operator.ZoneLost {
-			return lostAt, 0
+			return loss.appliedAt, 0
 		}
-		return lostAt, withDrift(wait)
+		return loss.appliedAt, withDrift(wait)
 	}
 	unattended := s.config.known && (!configured || !hasMember(s.view, zone))
 	m.unattendedSince = since(m.unattendedSince, unattended, s.now)
--- a/internal/service/control/zones.go
+++ b/internal/service/control/zones.go
@@ -24,8 +24,7 @@
 	leases     service.LeaseSource
 	heardAt    map[entity.Zone]time.Duration
 	knownSince map[entity.Zone]time.Duration
-	// lostAt is when this instance applied the loss of a zone.
-	lostAt map[entity.Zone]time.Duration
+	lost       lossTimes
 	// delegateSince is when this instance became its zone's delegate; negative if it is not.
 	delegateSince time.Duration
 	// connectedSince is when this instance began to hear most zones; negative if it does not.
@@ -42,7 +41,7 @@
 		logger:         logger,
 		heardAt:        map[entity.Zone]time.Duration{},
 		knownSince:     map[entity.Zone]time.Duration{},
-		lostAt:         map[entity.Zone]time.Duration{},
+		lost:           lossTimes{},
 		standing:       map[entity.Zone]bool{},
 		wantedAt:       map[entity.Zone]time.Duration{},
 		emptySince:     map[entity.Zone]time.Duration{},
@@ -63,17 +62,12 @@
 	maps.DeleteFunc(z.knownSince, func(zone entity.Zone, _ time.Duration) bool { return !members[zone] })
 	maps.DeleteFunc(z.emptySince, func(zone entity.Zone, _ time.Duration) bool { return members[zone] })
 	maps.DeleteFunc(z.heardAt, func(zone entity.Zone, _ time.Duration) bool { return !members[zone] })
-	for zone := range v.LostZones {
-		if _, known := z.lostAt[zone]; !known {
-			z.lostAt[zone] = now
-			telemetry.EventControlZoneLost.Log(z.logger, zap.String("zone", string(zone)))
-		}
+	began, ended := z.lost.applied(now, v)
+	for _, zone := range began {
+		telemetry.EventControlZoneLost.Log(z.logger, zap.String("zone", string(zone)))
 	}
-	for zone := range z.lostAt {
-		if _, lost := v.LostZones[zone]; !lost {
-			delete(z.lostAt, zone)
-			telemetry.EventControlZoneBack.Log(z.logger, zap.String("zone", string(zone)))
-		}
+	for _, zone := range ended {
+		telemetry.EventControlZoneBack.Log(z.logger, zap.String("zone", string(zone)))
 	}
 }
 
@@ -163,7 +157,9 @@
 	if !lost || s.config.zones[own] == operator.ZoneLost {
 		return nil
 	}
-	if z.connectedSince < 0 || s.now-z.connectedSince < zoneBackAfter {
+	// A connection that is older than the loss proves nothing: the zone may be heard without being able to answer.
+	since := max(z.connectedSince, z.lost[own].appliedAt)
+	if z.connectedSince < 0 || s.now-since < zoneBackAfter {
 		return nil
 	}
 	return ownership.ZoneBack{Zone: own, From: own, Version: s.view.ZonesVersion}
