Count the ramps that restart during the measured half load

Failed and skipped heartbeats were zero and ruled out. The counters around the half load show 5 and 3 ramps that restarted at one slot, because a new primary treats a warm back end as cold.

--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -56,11 +56,17 @@
 	fmt.Printf("  %-34s %9s %9s %9s %9s %9s %7s\n", "load (milliseconds)", "p50", "p99", "p99.9", "req/s", "cpu/req", "failed")
 	half := d.capacity() / 2
 	before := openLoop(ctx, half, o.Duration, direct)
+	if err := s.printCounters(ctx, client, "before the routed half load"); err != nil {
+		return err
+	}
 	after, err := profiled(o.Profile, func() result { return openLoop(ctx, half, o.Duration, through) })
 	if err != nil {
 		return err
 	}
 	compare(fmt.Sprintf("half load, %.0f/s", half), before, after)
+	if err := s.printCounters(ctx, client, "after it"); err != nil {
+		return err
+	}
 	full := 2 * d.totalSlots()
 	compare(fmt.Sprintf("saturation, %d callers", full),
 		closedLoop(ctx, full, o.Duration, direct), closedLoop(ctx, full, o.Duration, through))
@@ -70,12 +76,12 @@
 			closedLoop(ctx, callers, o.Duration/2, direct), closedLoop(ctx, callers, o.Duration/2, through))
 	}
 	fmt.Printf("  load after: %s\n", loadAverage())
-	return s.printCounters(ctx, client)
+	return s.printCounters(ctx, client, "at the end")
 }
 
 // printCounters prints how often the instances returned back ends to one slot, by cause, and repeated requests. On a busy
 // machine this explains queues.
-func (s *site) printCounters(ctx context.Context, client *http.Client) error {
+func (s *site) printCounters(ctx context.Context, client *http.Client, when string) error {
 	sums := map[string]int64{}
 	for _, i := range s.instances {
 		counters, err := readCounters(ctx, client, i.AdminAddress())
@@ -83,12 +89,12 @@
 			return err
 		}
 		for name, value := range counters {
-			if strings.HasPrefix(name, "dispatch.cold.") || name == "dispatch.retries" {
+			if strings.HasPrefix(name, "dispatch.cold.") || name == "dispatch.retries" || name == "lease.heartbeats.failed" || name == "lease.heartbeats.skipped" {
 				sums[name] += value.Count
 			}
 		}
 	}
-	fmt.Printf("  counters since the start: %v\n", sums)
+	fmt.Printf("  counters %s: %v\n", when, sums)
 	return nil
 }
 
