Do not call a refused repeat of an order not run

Cause: a refusal that is given before the idempotency memory is asked (rate, missing owner, deadline, stopping) was reported as not run also for a repeat, although an earlier attempt of the order may have run.

Ruled out: asking the memory before every refusal (its primary may be the very thing that is missing).

Change: such a refusal of an at-most-once request is unknown, unless the caller states an age of 0. Refusals that follow the memory's answer stay not run. Before: TestRefusalOfARepeatIsUnknownUnlessRemembered could not be stated, the gateway passed every refusal on; now it passes.

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -96,11 +96,12 @@
 // toRefusal converts a response without an answer.
 func toRefusal(id string, resp service.Response) *pb.ForwardResponse {
 	return &pb.ForwardResponse{Frame: &pb.ForwardResponse_Refusal{Refusal: &pb.Refusal{
-		RequestId: id,
-		Kind:      uint32(resp.Outcome.Kind),
-		Reason:    string(resp.Outcome.Reason),
-		Detail:    resp.Outcome.Detail,
-		Holder:    string(resp.Holder),
+		RequestId:  id,
+		Kind:       uint32(resp.Outcome.Kind),
+		Reason:     string(resp.Outcome.Reason),
+		Detail:     resp.Outcome.Detail,
+		Holder:     string(resp.Holder),
+		Remembered: resp.Remembered,
 	}}}
 }
 
@@ -111,5 +112,7 @@
 	if entity.OutcomeKind(r.GetKind()) == entity.OutcomeNotRun {
 		outcome.Kind = entity.OutcomeNotRun
 	}
-	return service.Response{Outcome: outcome, Holder: entity.InstanceID(r.GetHolder())}
+	return service.Response{
+		Outcome: outcome, Holder: entity.InstanceID(r.GetHolder()), Remembered: r.GetRemembered(),
+	}
 }
--- a/internal/service/dispatch/dispatch.go
+++ b/internal/service/dispatch/dispatch.go
@@ -84,7 +84,9 @@
 			return resp
 		}
 	}
-	return s.run(ctx, f)
+	resp := s.run(ctx, f)
+	resp.Remembered = !req.Idempotent
+	return resp
 }
 
 // newFlight reads the request's body. It is read before the request queues, so that a slow caller holds no slot, and it
@@ -181,16 +183,17 @@
 		s.meters.replays.Inc(1)
 		return replay(verdict.Answer), false
 	default:
-		return refused(outcome.RefusalOf(verdict.Decision)), false
+		return service.Response{Outcome: outcome.RefusalOf(verdict.Decision), Remembered: true}, false
 	}
 	if s.copyFirst(ctx, l, p.peers, verdict.Record) {
 		return service.Response{}, true
 	}
 	l.forget(f)
+	o := entity.NotRun(entity.ReasonUnreachable, "no instance could keep a copy of the request's key")
 	if ctx.Err() != nil {
-		return refused(entity.NotRun(entity.ReasonCanceled, "canceled before queueing")), false
+		o = entity.NotRun(entity.ReasonCanceled, "canceled before queueing")
 	}
-	return refused(entity.NotRun(entity.ReasonUnreachable, "no instance could keep a copy of the request's key")), false
+	return service.Response{Outcome: o, Remembered: true}, false
 }
 
 // replay returns a kept answer.
--- a/internal/service/gateway/handle.go
+++ b/internal/service/gateway/handle.go
@@ -72,6 +72,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline-g.kernel.Now())
 	resp, wait := g.admitAndRoute(ctx, req)
+	resp.Outcome = ofAllAttempts(req, resp)
 	if resp.Body == nil {
 		cancel()
 		return resp, wait
@@ -91,6 +92,17 @@
 	return g.route(ctx, req), 0
 }
 
+// ofAllAttempts returns the outcome of an at-most-once request over all its attempts. A refusal that was given without asking
+// the idempotency memory speaks of this attempt alone: an earlier one may have run, unless the caller states that there was
+// none.
+func ofAllAttempts(req *service.Request, resp service.Response) entity.Outcome {
+	refused := resp.Outcome.Kind == entity.OutcomeNotRun
+	if refused && !req.Idempotent && req.Age != 0 && !resp.Remembered {
+		return entity.Unknown(resp.Outcome.Reason, resp.Outcome.Detail+"; an earlier attempt may have run")
+	}
+	return resp.Outcome
+}
+
 // customer returns the customer on whose behalf the request runs. On routes open to all that is the one whose key came
 // with the request.
 func (g *Gateway) customer(r *http.Request, snapshot *routing.Snapshot, access operator.RouteAccess) (entity.CustomerID, entity.Outcome) {
--- a/internal/service/gateway/route_test.go
+++ b/internal/service/gateway/route_test.go
@@ -146,3 +146,30 @@
 	require.Equal(t, entity.ReasonFenced, resp.Outcome.Reason)
 	require.Len(t, f.sent, 1)
 }
+
+// Guards against a false "not run" for a repeated order: a refusal before the memory was asked says nothing about the order's
+// earlier attempts.
+func TestRefusalOfARepeatIsUnknownUnlessRemembered(t *testing.T) {
+	refused := service.Response{Outcome: entity.NotRun(entity.ReasonRateLimited, "")}
+	remembered := service.Response{Outcome: entity.NotRun(entity.ReasonShed, ""), Remembered: true}
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		age        time.Duration
+		resp       service.Response
+		want       entity.OutcomeKind
+	}{
+		{"first attempt", false, 0, refused, entity.OutcomeNotRun},
+		{"repeat", false, time.Second, refused, entity.OutcomeUnknown},
+		{"age not stated", false, -1, refused, entity.OutcomeUnknown},
+		{"repeat after the memory was asked", false, time.Second, remembered, entity.OutcomeNotRun},
+		{"idempotent", true, -1, refused, entity.OutcomeNotRun},
+		{"answered", false, -1, answered(), entity.OutcomeAnswered},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			req := testRequest(c.idempotent, "")
+			req.Age = c.age
+			require.Equal(t, c.want, ofAllAttempts(req, c.resp).Kind)
+		})
+	}
+}
