--- a/internal/decide/ownership/view.go
+++ b/internal/decide/ownership/view.go
@@ -49,6 +49,11 @@
 	Group   uint32 // lease group within the zone
 }
 
+// ClaimingGroup is the lease group of each zone whose members hold the zone's leases, and so the only one with primaries.
+// Leases must not move between groups without a record of the log that both groups have seen, so all belong to the first
+// group. Members of other groups take callers' requests and forward them.
+const ClaimingGroup uint32 = 0
+
 // GroupKey identifies a lease group.
 type GroupKey struct {
 	Zone  entity.Zone
@@ -68,6 +73,8 @@
 	LostZones map[entity.Zone]entity.Offset
 	// LostVotes maps zones that are not lost to the zones that have voted for declaring them lost.
 	LostVotes map[entity.Zone]map[entity.Zone]entity.Offset
+	// Attendance is the offset of the last change of members or lost zones.
+	Attendance entity.Offset
 	// ZonesVersion is the offset of the last record that changed LostZones or LostVotes.
 	ZonesVersion entity.Offset
 	// ZoneShares maps customers to the share of each zone in thousandths, which sum to 1000. Absent means even shares.
