Keep the ramp of a warm back end through a planned handover

Cause: a new primary knows nothing of its back end and starts the ramp at one request.

Ruled out: trusting the back end's own load report, which may mislead.

Change: before it gives the lease up, the former primary tells the lease group the limit that it has measured and the start id of the process.

--- a/internal/decide/backpressure/ramp.go
+++ b/internal/decide/backpressure/ramp.go
@@ -74,6 +74,9 @@
 	r.limit = min(r.limit, r.ceiling)
 }
 
+// Resume takes over the limit that a former primary has measured on the same process. It never lowers the limit.
+func (r *Ramp) Resume(limit int) { r.limit = max(r.limit, min(limit, r.ceiling)) }
+
 // Limit returns the number of requests that may run at once.
 func (r *Ramp) Limit() int { return r.limit }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,6 +19,7 @@
 type Handler interface {
 	service.Dispatcher
 	service.OutcomeKeeper
+	service.WarmthKeeper
 	LeaseTokens(ctx context.Context, req service.TokenRequest) (service.TokenResponse, error)
 	Heartbeat(ctx context.Context, req service.HeartbeatRequest) (service.HeartbeatResponse, error)
 	// State returns the replayed state of a stream of the log.
--- a/internal/service/dispatch/harness_test.go
+++ b/internal/service/dispatch/harness_test.go
@@ -139,6 +139,15 @@
 	return records, age, nil
 }
 
+func (p *peers) SendWarmth(_ context.Context, address string, w service.Warmth) error {
+	k, err := p.net.keeper(address)
+	if err != nil {
+		return err
+	}
+	k.(service.WarmthKeeper).KeepWarmth(w)
+	return nil
+}
+
 // agedClock is a clock that can be moved forward, so that a process and its memory are old at once.
 type agedClock struct {
 	*kernel.SystemClock
--- a/internal/service/dispatch/lane.go
+++ b/internal/service/dispatch/lane.go
@@ -109,6 +109,7 @@
 	l.term = term
 	l.memory.SetTerm(term)
 	l.cold(backpressure.CauseRestart, now)
+	l.resumeRamp(now)
 	telemetry.EventPrimary.Log(l.svc.log, zap.String("backend", string(l.id)), zap.Uint64("term", uint64(term)))
 }
 
@@ -138,6 +139,7 @@
 	known := l.startID != ""
 	l.startID = id
 	if !known {
+		l.resumeRamp(now)
 		return
 	}
 	l.cold(backpressure.CauseRestart, now)
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -33,10 +33,12 @@
 	log      *zap.Logger
 	meters   *meters
 
-	kernel *kernel.Kernel
-	leases service.LeaseSource
-	client backend.Client
-	copier service.OutcomeCopier
+	kernel       *kernel.Kernel
+	leases       service.LeaseSource
+	client       backend.Client
+	copier       service.OutcomeCopier
+	warmthSender service.WarmthSender
+	warmths      warmths
 
 	ctx      context.Context // ends when the stop is over
 	cancel   context.CancelFunc
@@ -107,7 +109,10 @@
 	if s.client, err = kernel.Lookup[backend.Client](r, service.Backends); err != nil {
 		return err
 	}
-	s.copier, err = kernel.Lookup[service.OutcomeCopier](r, service.Peers)
+	if s.copier, err = kernel.Lookup[service.OutcomeCopier](r, service.Peers); err != nil {
+		return err
+	}
+	s.warmthSender, err = kernel.Lookup[service.WarmthSender](r, service.Peers)
 	return err
 }
 
@@ -148,6 +153,7 @@
 func (s *Service) handOver(ctx context.Context, l *lane) error {
 	select {
 	case <-l.stop():
+		l.sendWarmth(ctx)
 		names := []service.LeaseName{service.BackendLease(l.id)}
 		return s.kernel.Deliver(ctx, service.Lease, service.HandOverLeases{Names: names})
 	case <-ctx.Done():
--- a/internal/service/peerserver/peerserver.go
+++ b/internal/service/peerserver/peerserver.go
@@ -34,6 +34,7 @@
 	kernel   *kernel.Kernel
 	dispatch service.Dispatcher
 	service.OutcomeKeeper
+	service.WarmthKeeper
 
 	socket net.Listener
 	cancel context.CancelFunc
@@ -61,7 +62,10 @@
 	if s.dispatch, err = kernel.Lookup[service.Dispatcher](r, service.Dispatch); err != nil {
 		return err
 	}
-	s.OutcomeKeeper, err = kernel.Lookup[service.OutcomeKeeper](r, service.Dispatch)
+	if s.OutcomeKeeper, err = kernel.Lookup[service.OutcomeKeeper](r, service.Dispatch); err != nil {
+		return err
+	}
+	s.WarmthKeeper, err = kernel.Lookup[service.WarmthKeeper](r, service.Dispatch)
 	return err
 }
 
--- /dev/null
+++ b/internal/service/warmth.go
@@ -0,0 +1,27 @@
+package service
+
+import (
+	"context"
+
+	"github.com/pollenpier/pollenpier/internal/entity"
+)
+
+// Warmth is what a primary has measured of a back end that it hands over.
+type Warmth struct {
+	Backend entity.BackendID
+	// StartID is that of the process that was measured. For another process the rest means nothing.
+	StartID string
+	// Limit is the number of requests that the back end has borne at once.
+	Limit int
+}
+
+// WarmthSender tells another instance of a back end that is handed over. Dispatch looks it up under Peers.
+type WarmthSender interface {
+	SendWarmth(ctx context.Context, address string, w Warmth) error
+}
+
+// WarmthKeeper is the receiving side of WarmthSender. The peer server looks it up under Dispatch. Its method may be called
+// from any goroutine.
+type WarmthKeeper interface {
+	KeepWarmth(w Warmth)
+}
