End requests to a back end whose session has lapsed

Cause: a request in flight at a back end that froze kept its caller until the request's deadline, although its keys were served by another back end meanwhile. With the primary lost at the same time, the keys were released after 0.84 s but a caller waited 5.7 s.

Ruled out: a slow takeover (the log of the run shows the lease gained 0.43 s and the release 0.84 s after the loss; the request was sent in between and hung).

Change: dispatch cuts such calls when session releases their partitions by lapse. An idempotent request is tried again by the gateway within its budget.

Callers now go on during the freeze, which showed that the check of one owner counted a paused process as working: in TestFrozenOwnerReturns a run of key-0 on the stopped back end began before the freeze and ended fenced after it. The stand-in records the last time at which it found its session valid, and a fenced run counts until then. Runs that end in any other way count to their end as before.

--- a/internal/e2e/check/check.go
+++ b/internal/e2e/check/check.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// lastEffect returns the time up to which a run can have had an effect. A back end that checks tokens looks at its session
+// before each step; a process that was paused in a run finds the session lapsed and ends the run as fenced without another
+// step, so that the time of the pause does not count.
+func lastEffect(r Run) time.Time {
+	if r.End == backend.EndFenced {
+		return r.Acted
+	}
+	return r.Ended
+}
+
 // oneOwner checks the runs of one key. A run that has not ended overlaps everything that starts after it.
 func oneOwner(t *testing.T, key string, list []Run) {
 	t.Helper()
@@ -106,8 +116,8 @@
 				require.False(t, running[other] || r.Started.Before(end), "key %s began on %s while it ran on %s", key, r.On, other)
 			}
 		}
-		if r.Ended.After(ends[r.On]) {
-			ends[r.On] = r.Ended
+		if end := lastEffect(r); end.After(ends[r.On]) {
+			ends[r.On] = end
 		}
 		if r.End == backend.EndRunning {
 			running[r.On], ends[r.On] = true, r.Started
--- a/internal/service/dispatch/flight.go
+++ b/internal/service/dispatch/flight.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"github.com/pollenpier/pollenpier/internal/decide/backpressure"
@@ -32,14 +33,16 @@
 	maxRun  time.Duration
 
 	// The lane's lock guards what follows.
-	state      flightState
-	ticket     backpressure.Ticket[*flight]
-	ready      chan struct{} // closed when a queued flight gets a slot or is refused
-	refusal    entity.Outcome
-	recorded   bool // the memory has it as running
-	arrivals   int  // attempts that may have reached the back end
-	alone      bool // runs alone
-	attempt    int  // counts the sends
+	state    flightState
+	ticket   backpressure.Ticket[*flight]
+	ready    chan struct{} // closed when a queued flight gets a slot or is refused
+	refusal  entity.Outcome
+	recorded bool // the memory has it as running
+	arrivals int  // attempts that may have reached the back end
+	alone    bool // runs alone
+	attempt  int  // counts the sends
+	// cut ends the call under way. Nil before the first send.
+	cut        context.CancelCauseFunc
 	queuedAt   time.Duration
 	grantedAt  time.Duration
 	sentAt     time.Duration // zero while nothing was sent in this attempt
--- a/internal/service/dispatch/send.go
+++ b/internal/service/dispatch/send.go
@@ -18,6 +18,9 @@
 // errRunDeadline ends a call when the deadline given to the back end has passed.
 var errRunDeadline = errors.New("deadline of the request passed")
 
+// errOwnerLapsed ends a call to a back end whose session has lapsed for good.
+var errOwnerLapsed = errors.New("session of the back end lapsed")
+
 // failedSend is a call without a usable answer.
 type failedSend struct {
 	failure outcome.Failure
@@ -34,7 +37,7 @@
 	}
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	l := f.lane
-	attempt, target := l.sending(f, now)
+	attempt, target := l.sending(f, now, cancel)
 	stopTimer := s.kernel.AfterFunc(f.until-now, func() {
 		cancel(errRunDeadline)
 		l.expire(f, attempt)
@@ -105,6 +108,9 @@
 }
 
 func endedFailure(cause error) outcome.Failure {
+	if errors.Is(cause, errOwnerLapsed) {
+		return outcome.FailureBroken
+	}
 	if errors.Is(cause, errRunDeadline) || errors.Is(cause, context.DeadlineExceeded) {
 		return outcome.FailureDeadline
 	}
@@ -124,10 +130,11 @@
 }
 
 // sending notes the start of a call and returns its number and the back end's address.
-func (l *lane) sending(f *flight, now time.Duration) (int, backend.Target) {
+func (l *lane) sending(f *flight, now time.Duration, cut context.CancelCauseFunc) (int, backend.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f.attempt++
+	f.cut = cut
 	f.sentAt = now
 	return f.attempt, l.target
 }
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -212,6 +212,8 @@
 		s.rebuild(t.Now())
 	case service.BackendStarted:
 		s.backendStarted(m, t.Now())
+	case service.PartitionsLapsed:
+		s.lapsed(m)
 	case service.DrainPartitions:
 		s.drain(m)
 	case tick:
--- a/internal/service/gateway/route.go
+++ b/internal/service/gateway/route.go
@@ -150,7 +150,7 @@
 	case entity.OutcomeNotRun:
 		return passes(resp.Outcome.Reason)
 	case entity.OutcomeUnknown:
-		return req.Idempotent && broke(resp.Outcome.Reason)
+		return req.Idempotent && (broke(resp.Outcome.Reason) || passes(resp.Outcome.Reason))
 	default:
 		return false
 	}
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -87,6 +87,13 @@
 	Until      time.Duration
 }
 
+// PartitionsLapsed is sent by session to dispatch with a ReleaseReady by lapse: requests that still run for these partitions
+// will not be answered, or their answers have no effect, so that nobody needs to wait for them.
+type PartitionsLapsed struct {
+	Backend    entity.BackendID
+	Partitions []PartitionEpoch
+}
+
 // ReleaseReady is sent by session to control: the old owner of the moving partitions provably runs nothing for them any
 // more and accepts nothing for them.
 type ReleaseReady struct {
--- a/internal/service/session/release.go
+++ b/internal/service/session/release.go
@@ -170,6 +170,9 @@
 	}
 	s.meters.released.Inc(int64(len(parts)))
 	t.Send(service.Control, service.ReleaseReady{Backend: a.target.ID, Partitions: parts, Lapsed: byLapse})
+	if byLapse {
+		t.Send(service.Dispatch, service.PartitionsLapsed{Backend: a.target.ID, Partitions: parts})
+	}
 	telemetry.EventSessionReleased.Log(s.logger, zap.String("backend", string(a.target.ID)),
 		zap.Int("partitions", len(parts)), zap.Bool("lapsed", byLapse))
 }
--- a/internal/standin/backend/executions.go
+++ b/internal/standin/backend/executions.go
@@ -40,7 +40,9 @@
 	StartID        string    `json:"start_id"`
 	Started        time.Time `json:"started"`
 	Ended          time.Time `json:"ended,omitzero"`
-	End            string    `json:"end"`
+	// Acted is the last time at which the session was found valid. A request that ends as fenced has no effect after it.
+	Acted time.Time `json:"acted,omitzero"`
+	End   string    `json:"end"`
 	// Cold is true if the back end was not warm when the request started.
 	Cold bool `json:"cold,omitempty"`
 	// KeyHeaders are the names of headers that carried a customer's key.
@@ -71,6 +73,13 @@
 	}
 }
 
+// acted notes that the request was allowed to go on at a time.
+func (l *ledger) acted(e *Execution, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.Acted = at
+}
+
 func (l *ledger) end(e *Execution, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/backend/run.go
+++ b/internal/standin/backend/run.go
@@ -153,7 +153,7 @@
 	p.server.ledger.start(execution, p.server.options.MaxExecutions)
 	end := EndCrashed
 	if r.Header.Get(p.server.options.CrashHeader) == "" {
-		end = p.work(ctx)
+		end = p.work(ctx, execution)
 	}
 	p.server.ledger.end(execution, end)
 	p.finish(t, end)
@@ -176,15 +176,21 @@
 	<-p.slots
 }
 
-// work takes the time of a request, in steps if it must watch its session, and returns how the request ended.
-func (p *process) work(ctx context.Context) string {
+// work takes the time of a request, in steps if it must watch its session, and returns how the request ended. The execution
+// notes the last time at which the session was found valid: after that, a request that ends as fenced has done nothing.
+func (p *process) work(ctx context.Context, execution *Execution) string {
 	for deadline := time.Now().Add(p.workTime()); ; {
+		checked := time.Now()
 		left := time.Until(deadline)
 		step, lapsed := p.sessionStep(left)
 		if lapsed {
 			return EndFenced
 		}
+		p.server.ledger.acted(execution, checked)
 		if !sleep(ctx, step) {
+			if _, lapsed := p.sessionStep(0); lapsed {
+				return EndFenced
+			}
 			return p.interrupted()
 		}
 		if step >= left {
