--- a/cmd/pollenpier/main.go
+++ b/cmd/pollenpier/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/gin-gonic/gin"
 	"github.com/jessevdk/go-flags"
 )
 
@@ -34,6 +35,8 @@
 
 // run executes the command line and returns the exit code.
 func run(args []string) int {
+	// In its default mode gin writes unstructured lines to standard error between the log's events.
+	gin.SetMode(gin.ReleaseMode)
 	parser := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "pollenpier"
 	_, err := parser.ParseArgs(args)
