Use the usual terms for queues and orphaned requests of a back end

lane, loose end and buried were private words. The state of one back end at its primary is its queue, a request without a connection is an orphan. No change of behaviour.

--- a/internal/service/dispatch/answer.go
+++ b/internal/service/dispatch/answer.go
@@ -97,14 +97,14 @@
 	if failure != 0 {
 		b.err = io.ErrUnexpectedEOF
 	}
-	b.flight.lane.complete(b.flight, failure, b.kept)
+	b.flight.backendQueue.complete(b.flight, failure, b.kept)
 	if failure == 0 {
 		b.release()
 	}
 }
 
 // expire ends a flight whose answer is still being read at the deadline, so that a caller that reads slowly holds no slot.
-func (l *lane) expire(f *flight, attempt int) {
+func (l *backendQueue) expire(f *flight, attempt int) {
 	l.mu.Lock()
 	current := f.state == flightStreaming && f.attempt == attempt
 	l.mu.Unlock()
@@ -114,7 +114,7 @@
 }
 
 // complete ends a flight whose answer has begun. Only the first call counts.
-func (l *lane) complete(f *flight, failure outcome.Failure, kept *outcome.Answer) {
+func (l *backendQueue) complete(f *flight, failure outcome.Failure, kept *outcome.Answer) {
 	now := l.svc.kernel.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -137,7 +137,7 @@
 }
 
 // succeeded records a complete answer. The caller holds the lock.
-func (l *lane) succeeded(f *flight, kept *outcome.Answer, now time.Duration) {
+func (l *backendQueue) succeeded(f *flight, kept *outcome.Answer, now time.Duration) {
 	l.ramp.Success(f.generation)
 	l.svc.cleared(f.suspect)
 	l.svc.meters.outcome(entity.Answered())
--- a/internal/service/dispatch/lane.go
+++ b/internal/service/dispatch/backend_queue.go
@@ -14,11 +14,11 @@
 	"github.com/pollenpier/pollenpier/internal/telemetry"
 )
 
-// lane is the traffic state of one back end at its primary. Its lock is held only for computation, never for I/O.
+// backendQueue is the traffic state of one back end at its primary. Its lock is held only for computation, never for I/O.
 //
-// Invariants under the lock: len(running) plus the loose ends that hold a slot never grows beyond the ramp's limit; while
+// Invariants under the lock: len(running) plus the orphaned requests that hold a slot never grows beyond the ramp's limit; while
 // alone is set, at most one flight runs; open counts the requests between admission and the end of their answer.
-type lane struct {
+type backendQueue struct {
 	svc     *Service
 	id      entity.BackendID
 	service entity.ServiceName
@@ -39,7 +39,7 @@
 	count   uint64 // requests of the current window
 
 	running  map[*flight]struct{}
-	loose    []looseEnd
+	orphans  []orphan
 	next     *flight // suspect that waits until it can run alone
 	alone    bool
 	wakeAt   time.Duration // of the pending timer, zero if none
@@ -60,8 +60,8 @@
 	drains  []*pendingDrain
 }
 
-func newLane(s *Service, id entity.BackendID, rule backendRule, svc serviceRule, now time.Duration) *lane {
-	return &lane{
+func newBackendQueue(s *Service, id entity.BackendID, rule backendRule, svc serviceRule, now time.Duration) *backendQueue {
+	return &backendQueue{
 		svc:         s,
 		id:          id,
 		service:     rule.service,
@@ -84,14 +84,14 @@
 }
 
 // setRule applies the configuration. The caller holds the lock.
-func (l *lane) setRule(rule backendRule) {
+func (l *backendQueue) setRule(rule backendRule) {
 	l.rule = rule
 	l.target = rule.target
 	l.applySlots()
 }
 
 // applySlots takes the smaller of the configured and the reported slots. The caller holds the lock.
-func (l *lane) applySlots() {
+func (l *backendQueue) applySlots() {
 	slots := l.rule.slots
 	if l.reportedSlots > 0 {
 		slots = min(slots, l.reportedSlots)
@@ -101,7 +101,7 @@
 
 // setTerm notes that the lease is held. A new primary knows nothing of the back end's load, so it begins with one request
 // at a time. The caller holds the lock.
-func (l *lane) setTerm(term entity.Term, now time.Duration) {
+func (l *backendQueue) setTerm(term entity.Term, now time.Duration) {
 	l.heldAt = now
 	if term <= l.term {
 		return
@@ -113,15 +113,15 @@
 	telemetry.EventPrimary.Log(l.svc.log, zap.String("backend", string(l.id)), zap.Uint64("term", uint64(term)))
 }
 
-// forgotten reports whether the lane's memory is too old to be asked for.
-func (l *lane) forgotten(now time.Duration) bool {
+// forgotten reports whether the queue's memory is too old to be asked for.
+func (l *backendQueue) forgotten(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.open == 0 && now-l.heldAt > l.svc.settings.MemoryWindow
 }
 
 // cold returns the ramp to one. The caller holds the lock.
-func (l *lane) cold(cause backpressure.Cause, now time.Duration) {
+func (l *backendQueue) cold(cause backpressure.Cause, now time.Duration) {
 	if l.ramp.Limit() > 1 {
 		telemetry.EventBackendCold.Log(l.svc.log,
 			zap.String("backend", string(l.id)), zap.Stringer("cause", cause))
@@ -132,7 +132,7 @@
 
 // sawStartID compares the start id with the last one seen. A change proves that the back end's process ended. The caller
 // holds the lock.
-func (l *lane) sawStartID(id string, now time.Duration) {
+func (l *backendQueue) sawStartID(id string, now time.Duration) {
 	if id == "" || id == l.startID {
 		return
 	}
@@ -150,7 +150,7 @@
 }
 
 // stop refuses new requests and returns a channel that is closed when the last admitted one has ended.
-func (l *lane) stop() <-chan struct{} {
+func (l *backendQueue) stop() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.stopped {
@@ -161,7 +161,7 @@
 }
 
 // resume takes requests again after a stop, unless the whole service stops.
-func (l *lane) resume() {
+func (l *backendQueue) resume() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopped && !l.svc.stopping.Load() {
@@ -170,8 +170,8 @@
 	}
 }
 
-// admit counts a request in. It fails while the lane stops or holds too many bytes of bodies.
-func (l *lane) admit(f *flight) (entity.Outcome, bool) {
+// admit counts a request in. It fails while the queue stops or holds too many bytes of bodies.
+func (l *backendQueue) admit(f *flight) (entity.Outcome, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopped {
@@ -190,19 +190,19 @@
 }
 
 // leave counts a request out.
-func (l *lane) leave(f *flight) {
+func (l *backendQueue) leave(f *flight) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leaveLocked(f)
 }
 
-func (l *lane) leaveLocked(f *flight) {
+func (l *backendQueue) leaveLocked(f *flight) {
 	l.buffered -= int64(len(f.body))
 	l.open--
 	l.closeIfIdle()
 }
 
-func (l *lane) closeIfIdle() {
+func (l *backendQueue) closeIfIdle() {
 	if l.stopped && l.open == 0 {
 		close(l.idle)
 	}
--- a/internal/service/dispatch/collect.go
+++ b/internal/service/dispatch/collect.go
@@ -37,7 +37,7 @@
 
 // startCollecting begins to gather the memory of the assignments for which that has not been done. The caller holds the
 // lock.
-func (l *lane) startCollecting(p *plan, assignments []assignment) {
+func (l *backendQueue) startCollecting(p *plan, assignments []assignment) {
 	var needed []assignment
 	done := make(chan struct{})
 	for _, a := range assignments {
@@ -58,7 +58,7 @@
 }
 
 // awaitMemory waits until the memory of the flight's partition is in place.
-func (l *lane) awaitMemory(ctx context.Context, f *flight, p *plan, term entity.Term) (entity.Outcome, bool) {
+func (l *backendQueue) awaitMemory(ctx context.Context, f *flight, p *plan, term entity.Term) (entity.Outcome, bool) {
 	l.mu.Lock()
 	l.setTerm(term, l.svc.kernel.Now())
 	l.startCollecting(p, []assignment{{f.part, f.req.Epoch, p.past[f.part].revision}})
@@ -75,7 +75,7 @@
 }
 
 // begin asks the memory whether the flight may run.
-func (l *lane) begin(f *flight) outcome.Verdict {
+func (l *backendQueue) begin(f *flight) outcome.Verdict {
 	now := l.svc.kernel.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,14 +91,14 @@
 }
 
 // forget withdraws a request that is not sent.
-func (l *lane) forget(f *flight) {
+func (l *backendQueue) forget(f *flight) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(f, l.svc.kernel.Now())
 }
 
 // collect asks the members that can know requests of the partitions and adds what they know to the memory.
-func (l *lane) collect(ctx context.Context, p *plan, needed []assignment) {
+func (l *backendQueue) collect(ctx context.Context, p *plan, needed []assignment) {
 	s := l.svc
 	ctx, cancel := context.WithTimeout(ctx, s.settings.CollectTimeout)
 	defer cancel()
@@ -233,7 +233,7 @@
 
 // horizonOf returns the time since which the memory of the partition is complete: both the own group, which has the
 // requests since the back end owns the partition, and the group of the former owner must have everything since then.
-func (l *lane) horizonOf(p *plan, part outcome.PartitionKey, answers reports, records []outcome.Record,
+func (l *backendQueue) horizonOf(p *plan, part outcome.PartitionKey, answers reports, records []outcome.Record,
 	now time.Duration) time.Duration {
 	past := p.past[part]
 	own := append(answers.since(p.peers, now), l.svc.started)
--- a/internal/service/dispatch/copy.go
+++ b/internal/service/dispatch/copy.go
@@ -26,7 +26,7 @@
 // lease_ttl; a request sent in that time would be unknown to the next primary, and its repeat would run a second time.
 // The refusal costs little: a lease needs a majority of the group, so a primary that reaches no member loses its lease
 // within lease_ttl anyway. A group without another member needs no copy, since it has no next primary.
-func (s *Service) copyFirst(ctx context.Context, l *lane, peers []ownership.Member, r outcome.Record) bool {
+func (s *Service) copyFirst(ctx context.Context, l *backendQueue, peers []ownership.Member, r outcome.Record) bool {
 	if len(peers) == 0 {
 		return true
 	}
@@ -40,7 +40,7 @@
 
 // copyToAny tries the members, beginning with the one that took the last copy, until one takes the records or the time is
 // up. Each attempt gets half of the time that is left, so that one silent member does not use up all of it.
-func (s *Service) copyToAny(ctx context.Context, l *lane, peers []ownership.Member, term entity.Term,
+func (s *Service) copyToAny(ctx context.Context, l *backendQueue, peers []ownership.Member, term entity.Term,
 	records []outcome.Record) bool {
 	timeout := s.settings.CopyTimeout
 	first := int(l.peer.Load())
@@ -63,7 +63,7 @@
 
 // post queues a record for the background copy. A record of an end that gets lost only makes a repeat unknown. The caller
 // holds the lock.
-func (l *lane) post(records ...outcome.Record) {
+func (l *backendQueue) post(records ...outcome.Record) {
 	if len(l.outbox)+len(records) > 2*l.svc.settings.MemoryEntries {
 		l.svc.meters.copiesFailed.Inc(int64(len(records)))
 		return
@@ -77,7 +77,7 @@
 }
 
 // copyOutbox sends the queued records in batches until there are none.
-func (l *lane) copyOutbox(ctx context.Context) {
+func (l *backendQueue) copyOutbox(ctx context.Context) {
 	for {
 		batch, term := l.nextBatch()
 		if len(batch) == 0 {
@@ -94,7 +94,7 @@
 }
 
 // nextBatch takes the next records out of the outbox.
-func (l *lane) nextBatch() ([]outcome.Record, entity.Term) {
+func (l *backendQueue) nextBatch() ([]outcome.Record, entity.Term) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := batchLength(l.outbox)
--- a/internal/service/dispatch/crash.go
+++ b/internal/service/dispatch/crash.go
@@ -30,8 +30,8 @@
 }
 
 // blame counts a crash against a request, here and at the other instances: the request may be sent again to the next
-// owner of its key, whose primary is another one. The caller holds the lane's lock.
-func (s *Service) blame(l *lane, suspect outcome.Suspect, now time.Duration) {
+// owner of its key, whose primary is another one. The caller holds the queue's lock.
+func (s *Service) blame(l *backendQueue, suspect outcome.Suspect, now time.Duration) {
 	s.quarantineMu.Lock()
 	s.quarantine.Blame(suspect, now)
 	s.quarantineMu.Unlock()
--- a/internal/service/dispatch/dispatch.go
+++ b/internal/service/dispatch/dispatch.go
@@ -67,7 +67,7 @@
 	if !ok {
 		return refused(o)
 	}
-	l := p.lanes[req.Backend]
+	l := p.queues[req.Backend]
 	if l == nil {
 		return refused(entity.NotRun(entity.ReasonNotHolder, "lease just gained"))
 	}
@@ -91,7 +91,7 @@
 
 // newFlight reads the request's body. It is read before the request queues, so that a slow caller holds no slot, and it
 // is kept, because the fingerprint covers it and a retry sends it again.
-func (s *Service) newFlight(l *lane, p *plan, req *service.Request) (*flight, entity.Outcome, bool) {
+func (s *Service) newFlight(l *backendQueue, p *plan, req *service.Request) (*flight, entity.Outcome, bool) {
 	if !req.Idempotent && req.IdempotencyKey == "" {
 		return nil, entity.NotRun(entity.ReasonBadRequest, "an at-most-once request needs an idempotency key"), false
 	}
@@ -100,12 +100,12 @@
 		return nil, bodyRefusal(err), false
 	}
 	f := &flight{
-		lane:   l,
-		req:    req,
-		body:   body,
-		part:   outcome.PartitionKey{Service: req.Service, Partition: req.Partition},
-		hash:   entity.HashKey(req.Key),
-		maxRun: p.services[req.Service].maxRun,
+		backendQueue: l,
+		req:          req,
+		body:         body,
+		part:         outcome.PartitionKey{Service: req.Service, Partition: req.Partition},
+		hash:         entity.HashKey(req.Key),
+		maxRun:       p.services[req.Service].maxRun,
 	}
 	f.suspect = outcome.Suspect{Customer: req.Customer, Fingerprint: fingerprint(req, body)}
 	if !req.Idempotent {
@@ -172,7 +172,7 @@
 // remember records an at-most-once request before it is queued. It reports false with the response if the request must
 // not be sent.
 func (s *Service) remember(ctx context.Context, f *flight, p *plan, term entity.Term) (service.Response, bool) {
-	l := f.lane
+	l := f.backendQueue
 	if o, ok := l.awaitMemory(ctx, f, p, term); !ok {
 		return refused(o), false
 	}
@@ -209,7 +209,7 @@
 
 // run sends the request, and again if that is allowed and can help.
 func (s *Service) run(ctx context.Context, f *flight) service.Response {
-	l := f.lane
+	l := f.backendQueue
 	// An at-most-once request is held back only after the memory was asked, so that "not run" is true of its earlier
 	// attempts as well.
 	if s.treat(f.suspect, s.kernel.Now()) == outcome.TreatHeld {
--- a/internal/service/dispatch/drain.go
+++ b/internal/service/dispatch/drain.go
@@ -24,7 +24,7 @@
 
 // drain stops sending for the partitions and reports when nothing is in flight for them.
 func (s *Service) drain(m service.DrainPartitions) {
-	l := s.lane(m.Backend)
+	l := s.backendQueue(m.Backend)
 	if l == nil {
 		// This process was not the primary, so it has sent nothing to the back end.
 		s.reportDrained(service.PartitionsDrained{Backend: m.Backend, Partitions: m.Partitions})
@@ -79,13 +79,13 @@
 }
 
 // drainedAt reports whether nothing may be sent for the flight's partition at its epoch. The caller holds the lock.
-func (l *lane) drainedAt(f *flight) bool {
+func (l *backendQueue) drainedAt(f *flight) bool {
 	epoch, ok := l.drained[f.part]
 	return ok && f.req.Epoch <= epoch
 }
 
 // checkDrains reports the drains for which nothing runs any more. The caller holds the lock.
-func (l *lane) checkDrains(now time.Duration) {
+func (l *backendQueue) checkDrains(now time.Duration) {
 	if len(l.drains) == 0 {
 		return
 	}
@@ -106,9 +106,9 @@
 
 // looseUntil returns the latest deadline of the requests without a known end that the drain concerns, zero if there are
 // none. The caller holds the lock.
-func (l *lane) looseUntil(d *pendingDrain, now time.Duration) time.Duration {
+func (l *backendQueue) looseUntil(d *pendingDrain, now time.Duration) time.Duration {
 	until := time.Duration(0)
-	for _, e := range l.loose {
+	for _, e := range l.orphans {
 		if now < e.until && d.concerns(e.part, e.epoch, e.hash) {
 			until = max(until, e.until)
 		}
--- a/internal/service/dispatch/flight.go
+++ b/internal/service/dispatch/flight.go
@@ -10,7 +10,7 @@
 	"github.com/pollenpier/pollenpier/internal/service"
 )
 
-// flightState is the place of a request on its way. The lane's lock guards it.
+// flightState is the place of a request on its way. The queue's lock guards it.
 type flightState uint8
 
 const (
@@ -23,16 +23,16 @@
 
 // flight is one request at the primary, from admission until its answer has ended.
 type flight struct {
-	lane    *lane
-	req     *service.Request
-	body    []byte
-	part    outcome.PartitionKey
-	hash    entity.KeyHash
-	suspect outcome.Suspect
-	key     outcome.Key // set for at-most-once requests
-	maxRun  time.Duration
+	backendQueue *backendQueue
+	req          *service.Request
+	body         []byte
+	part         outcome.PartitionKey
+	hash         entity.KeyHash
+	suspect      outcome.Suspect
+	key          outcome.Key // set for at-most-once requests
+	maxRun       time.Duration
 
-	// The lane's lock guards what follows.
+	// The queue's lock guards what follows.
 	state    flightState
 	ticket   backpressure.Ticket[*flight]
 	ready    chan struct{} // closed when a queued flight gets a slot or is refused
@@ -51,9 +51,9 @@
 	generation uint64        // of the ramp, when the slot was given
 }
 
-// looseEnd is a request without a connection that may still run on the back end. It counts against the slots until
+// orphan is a request without a connection that may still run on the back end. It counts against the slots until
 // heldTill and against drains until its deadline.
-type looseEnd struct {
+type orphan struct {
 	part     outcome.PartitionKey
 	epoch    entity.Epoch
 	hash     entity.KeyHash
--- a/internal/service/dispatch/keeper.go
+++ b/internal/service/dispatch/keeper.go
@@ -35,7 +35,7 @@
 	records := s.copies.Export(keys, now)
 	s.keeperMu.Unlock()
 	if p := s.plan.Load(); p != nil {
-		for _, l := range p.lanes {
+		for _, l := range p.queues {
 			if l.service == name {
 				l.mu.Lock()
 				records = append(records, l.memory.Export(keys, now)...)
--- a/internal/service/dispatch/lapse.go
+++ b/internal/service/dispatch/lapse.go
@@ -7,7 +7,7 @@
 // lapsed ends the calls for partitions whose owner's session has lapsed. A frozen back end would otherwise keep their callers
 // until the deadline of the request, although the keys have another owner by then.
 func (s *Service) lapsed(m service.PartitionsLapsed) {
-	l := s.lane(m.Backend)
+	l := s.backendQueue(m.Backend)
 	if l == nil {
 		return
 	}
--- a/internal/service/dispatch/plan.go
+++ b/internal/service/dispatch/plan.go
@@ -40,9 +40,9 @@
 type plan struct {
 	services map[entity.ServiceName]serviceRule
 	backends map[entity.BackendID]backendRule
-	// lanes holds the back ends that this instance is or was primary of.
-	lanes map[entity.BackendID]*lane
-	view  *ownership.View
+	// queues holds the back ends that this instance is or was primary of.
+	queues map[entity.BackendID]*backendQueue
+	view   *ownership.View
 	// peers are the other members of this instance's lease group.
 	peers []ownership.Member
 	// removed are members that left the group within the last memory window.
@@ -61,7 +61,7 @@
 
 	services map[entity.ServiceName]serviceRule
 	backends map[entity.BackendID]backendRule
-	lanes    map[entity.BackendID]*lane
+	queues   map[entity.BackendID]*backendQueue
 }
 
 // rebuild publishes a new plan after a change of configuration, ownership or leases.
@@ -75,29 +75,29 @@
 		st.rules = st.config
 	}
 	leases := s.leases.Leases()
-	lanes := make(map[entity.BackendID]*lane, len(st.lanes)+1)
-	for id, l := range st.lanes {
+	queues := make(map[entity.BackendID]*backendQueue, len(st.queues)+1)
+	for id, l := range st.queues {
 		if _, configured := st.backends[id]; configured && !l.forgotten(now) {
-			lanes[id] = l
+			queues[id] = l
 		}
 	}
 	for _, id := range heldBackends(leases) {
-		if rule, configured := st.backends[id]; configured && lanes[id] == nil {
-			lanes[id] = newLane(s, id, rule, st.services[rule.service], now)
+		if rule, configured := st.backends[id]; configured && queues[id] == nil {
+			queues[id] = newBackendQueue(s, id, rule, st.services[rule.service], now)
 		}
 	}
-	for id, l := range lanes {
+	for id, l := range queues {
 		l.update(st.backends[id], leases, now)
 	}
-	st.lanes = lanes
+	st.queues = queues
 	peers := s.peersIn(st.view)
 	if old := s.plan.Load(); old != nil && !sameMembers(old.peers, peers) {
-		planRepairs(lanes, now)
+		planRepairs(queues, now)
 	}
 	s.plan.Publish(&plan{
 		services: st.services,
 		backends: st.backends,
-		lanes:    lanes,
+		queues:   queues,
 		view:     st.view,
 		peers:    peers,
 		removed:  st.removed,
@@ -121,8 +121,8 @@
 	return ids
 }
 
-// update passes changes of the configuration and the lease to the lane.
-func (l *lane) update(rule backendRule, leases *service.LeaseView, now time.Duration) {
+// update passes changes of the configuration and the lease to the queue.
+func (l *backendQueue) update(rule backendRule, leases *service.LeaseView, now time.Duration) {
 	held, primary := heldLease(leases, l.id, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,15 +145,15 @@
 // prepare starts the collection of the memory for the partitions of the back ends that this instance is primary of.
 func (s *Service) prepare(leases *service.LeaseView, now time.Duration) {
 	p := s.plan.Load()
-	primary := map[entity.BackendID]*lane{}
+	primary := map[entity.BackendID]*backendQueue{}
 	names := map[entity.ServiceName]bool{}
-	for id, l := range p.lanes {
+	for id, l := range p.queues {
 		if _, held := heldLease(leases, id, now); held {
 			primary[id] = l
 			names[l.service] = true
 		}
 	}
-	wanted := map[*lane][]assignment{}
+	wanted := map[*backendQueue][]assignment{}
 	for name := range names {
 		view := p.view.Services[name]
 		if view == nil {
--- a/internal/service/dispatch/rebalance.go
+++ b/internal/service/dispatch/rebalance.go
@@ -30,7 +30,7 @@
 	s.rebalanced++
 	name := view.Misplaced[s.rebalanced%len(view.Misplaced)]
 	id, isBackend := strings.CutPrefix(string(name), string(service.BackendLease("")))
-	l := s.lane(entity.BackendID(id))
+	l := s.backendQueue(entity.BackendID(id))
 	if !isBackend || l == nil {
 		s.rebalancing.Store(false)
 		return
@@ -42,7 +42,7 @@
 }
 
 // rebalanceLane closes the back end here, hands its lease over if it becomes idle in time, and opens it again.
-func (s *Service) rebalanceLane(ctx context.Context, l *lane) {
+func (s *Service) rebalanceLane(ctx context.Context, l *backendQueue) {
 	defer l.resume()
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout+handOverPause)
 	defer cancel()
--- a/internal/service/dispatch/repair.go
+++ b/internal/service/dispatch/repair.go
@@ -16,10 +16,10 @@
 // longer than the margin that a new primary subtracts from the time of a complete copy.
 const repairDelay = 5 * time.Second
 
-// planRepairs has every lane give its memory to a member again after the members of the group have changed: the records
+// planRepairs has every queue give its memory to a member again after the members of the group have changed: the records
 // that a former member held are otherwise only here, and those of a new member are younger than the memory.
-func planRepairs(lanes map[entity.BackendID]*lane, now time.Duration) {
-	for _, l := range lanes {
+func planRepairs(queues map[entity.BackendID]*backendQueue, now time.Duration) {
+	for _, l := range queues {
 		l.mu.Lock()
 		l.repairAt = now + repairDelay
 		l.mu.Unlock()
@@ -40,7 +40,7 @@
 }
 
 // repairIfDue starts the complete copy when its time has come.
-func (l *lane) repairIfDue(now time.Duration) {
+func (l *backendQueue) repairIfDue(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.repairAt == 0 || now < l.repairAt {
@@ -51,7 +51,7 @@
 }
 
 // repair gives all records to one member, and then the horizons, which confirm that it has them all.
-func (l *lane) repair(ctx context.Context) {
+func (l *backendQueue) repair(ctx context.Context) {
 	made := l.svc.kernel.Now()
 	l.mu.Lock()
 	records := l.memory.Export(nil, made)
@@ -76,7 +76,7 @@
 }
 
 // transfer gives a complete copy to one member.
-func (l *lane) transfer(ctx context.Context, peer ownership.Member, term entity.Term, records []outcome.Record,
+func (l *backendQueue) transfer(ctx context.Context, peer ownership.Member, term entity.Term, records []outcome.Record,
 	made time.Duration) error {
 	var entries, horizons []outcome.Record
 	for _, r := range records {
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func (l *lane) give(ctx context.Context, peer ownership.Member, term entity.Term, records []outcome.Record) error {
+func (l *backendQueue) give(ctx context.Context, peer ownership.Member, term entity.Term, records []outcome.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, l.svc.settings.CollectTimeout)
 	defer cancel()
 	return l.svc.copier.CopyOutcomes(ctx, peer.Address, l.id, term, records)
--- a/internal/service/dispatch/report.go
+++ b/internal/service/dispatch/report.go
@@ -35,7 +35,7 @@
 	running, waiting := 0, 0
 	leases := s.leases.Leases()
 	s.rebalance(leases)
-	for id, l := range p.lanes {
+	for id, l := range p.queues {
 		if _, primary := heldLease(leases, id, t.Now()); primary {
 			l.repairIfDue(t.Now())
 		}
@@ -56,7 +56,7 @@
 	s.meters.load(running, waiting)
 	s.compare(medians, known)
 	for _, r := range reports {
-		r.Straggler = s.straggling(p.lanes[r.Backend].service, r.Backend)
+		r.Straggler = s.straggling(p.queues[r.Backend].service, r.Backend)
 		t.Send(service.Control, r)
 	}
 }
@@ -90,15 +90,15 @@
 	return st != nil && st.Straggling(id)
 }
 
-// laneReport is the state of one lane at the end of a window.
+// laneReport is the state of one queue at the end of a window.
 type laneReport struct {
 	message service.BackendLatency
 	running int
 	waiting int
 }
 
-// closeWindow ends the lane's window of measurements.
-func (l *lane) closeWindow(now time.Duration) laneReport {
+// closeWindow ends the queue's window of measurements.
+func (l *backendQueue) closeWindow(now time.Duration) laneReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w, closed := l.latency.Close(now)
--- a/internal/service/dispatch/send.go
+++ b/internal/service/dispatch/send.go
@@ -36,7 +36,7 @@
 		return service.Response{}, &failedSend{failure: outcome.FailureNotSent, ended: errRunDeadline, cause: errRunDeadline}
 	}
 	sendCtx, cancel := context.WithCancelCause(ctx)
-	l := f.lane
+	l := f.backendQueue
 	attempt, target := l.sending(f, now, cancel)
 	stopTimer := s.kernel.AfterFunc(f.until-now, func() {
 		cancel(errRunDeadline)
@@ -130,7 +130,7 @@
 }
 
 // sending notes the start of a call and returns its number and the back end's address.
-func (l *lane) sending(f *flight, now time.Duration, cut context.CancelCauseFunc) (int, backend.Target) {
+func (l *backendQueue) sending(f *flight, now time.Duration, cut context.CancelCauseFunc) (int, backend.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f.attempt++
@@ -141,7 +141,7 @@
 
 // answered takes the head of the answer.
 func (s *Service) answered(ctx context.Context, f *flight, answer *backend.Answer, release func()) service.Response {
-	l := f.lane
+	l := f.backendQueue
 	now := s.kernel.Now()
 	l.mu.Lock()
 	f.state = flightStreaming
@@ -185,7 +185,7 @@
 }
 
 // failed ends an attempt without an answer. It reports true if the flight may be sent again, and else the outcome.
-func (l *lane) failed(f *flight, e *failedSend) (entity.Outcome, bool) {
+func (l *backendQueue) failed(f *flight, e *failedSend) (entity.Outcome, bool) {
 	now := l.svc.kernel.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -203,7 +203,7 @@
 }
 
 // mayRetry spends a retry if one is allowed. The caller holds the lock.
-func (l *lane) mayRetry(f *flight, e *failedSend, now time.Duration) bool {
+func (l *backendQueue) mayRetry(f *flight, e *failedSend, now time.Duration) bool {
 	if !f.req.Idempotent || e.ended != nil || !e.failure.Retryable() {
 		return false
 	}
@@ -214,7 +214,7 @@
 }
 
 // learn adjusts ramp, latency and evidence after a failure. The caller holds the lock.
-func (l *lane) learn(f *flight, failure outcome.Failure, ended bool, now time.Duration) {
+func (l *backendQueue) learn(f *flight, failure outcome.Failure, ended bool, now time.Duration) {
 	if ended {
 		// The caller or the clock ended the call. Only a time far above the usual says something of the back end.
 		if failure == outcome.FailureDeadline && f.answeredAt == 0 {
@@ -232,18 +232,18 @@
 		l.cold(backpressure.CauseShed, now)
 	case outcome.FailureBroken, outcome.FailureTruncated:
 		l.cold(backpressure.CauseConnection, now)
-		l.evidence.Broke(f.suspect, l.othersLoose(f, now), now)
+		l.evidence.Broke(f.suspect, l.otherOrphans(f, now), now)
 		l.svc.suspect(f.suspect, now)
 	default:
 	}
 }
 
-// othersLoose counts the other requests without a connection that may still run in the same process of the back end. The
+// otherOrphans counts the other requests without a connection that may still run in the same process of the back end. The
 // caller holds the lock.
-func (l *lane) othersLoose(f *flight, now time.Duration) int {
+func (l *backendQueue) otherOrphans(f *flight, now time.Duration) int {
 	n := 0
-	for i := range l.loose {
-		e := &l.loose[i]
+	for i := range l.orphans {
+		e := &l.orphans[i]
 		if now < e.until && e.startID == l.startID && e.suspect != f.suspect {
 			n++
 		}
@@ -253,7 +253,7 @@
 
 // abandon ends a flight whose last attempt was not sent. A not-run outcome becomes unknown if an earlier attempt may have
 // reached the back end.
-func (l *lane) abandon(f *flight, o entity.Outcome) entity.Outcome {
+func (l *backendQueue) abandon(f *flight, o entity.Outcome) entity.Outcome {
 	now := l.svc.kernel.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -269,7 +269,7 @@
 }
 
 // settle records the end of an at-most-once request without an answer. The caller holds the lock.
-func (l *lane) settle(f *flight, now time.Duration) {
+func (l *backendQueue) settle(f *flight, now time.Duration) {
 	if !f.recorded {
 		return
 	}
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -26,7 +26,7 @@
 // Service implements service.Dispatcher and service.OutcomeKeeper.
 //
 // The control goroutine owns the fields under "control state" and publishes the plan. Traffic goroutines read the plan and
-// take the lock of one lane, which guards the traffic state of one back end.
+// take the lock of one queue, which guards the traffic state of one back end.
 type Service struct {
 	self     service.Self
 	settings Settings
@@ -128,12 +128,12 @@
 // so that a long request on one back end does not keep the others from being served elsewhere.
 func (s *Service) Drain(ctx context.Context) error {
 	s.stopping.Store(true)
-	var lanes []*lane
+	var queues []*backendQueue
 	if p := s.plan.Load(); p != nil {
-		lanes = slices.Collect(maps.Values(p.lanes))
+		queues = slices.Collect(maps.Values(p.queues))
 	}
-	results := make(chan error, len(lanes))
-	for _, l := range lanes {
+	results := make(chan error, len(queues))
+	for _, l := range queues {
 		go func() {
 			err := s.handOver(ctx, l)
 			if err != nil {
@@ -143,14 +143,14 @@
 		}()
 	}
 	var failed error
-	for range lanes {
+	for range queues {
 		failed = errors.Join(failed, <-results)
 	}
 	return errors.Join(failed, s.awaitWorkers(ctx))
 }
 
 // handOver waits until nothing runs on the back end and gives its lease to another instance.
-func (s *Service) handOver(ctx context.Context, l *lane) error {
+func (s *Service) handOver(ctx context.Context, l *backendQueue) error {
 	select {
 	case <-l.stop():
 		l.sendWarmth(ctx)
@@ -222,7 +222,7 @@
 }
 
 func (s *Service) backendStarted(m service.BackendStarted, now time.Duration) {
-	l := s.lane(m.Backend)
+	l := s.backendQueue(m.Backend)
 	if l == nil {
 		return
 	}
@@ -233,13 +233,13 @@
 	l.sawStartID(m.StartID, now)
 }
 
-// lane returns the lane of a back end, nil if this instance has not been its primary.
-func (s *Service) lane(id entity.BackendID) *lane {
+// backendQueue returns the queue of a back end, nil if this instance has not been its primary.
+func (s *Service) backendQueue(id entity.BackendID) *backendQueue {
 	p := s.plan.Load()
 	if p == nil {
 		return nil
 	}
-	return p.lanes[id]
+	return p.queues[id]
 }
 
 // treat says how a suspected request may be sent.
--- a/internal/service/dispatch/slots.go
+++ b/internal/service/dispatch/slots.go
@@ -14,7 +14,7 @@
 const minGrace = 100 * time.Millisecond
 
 // acquire waits until the flight has a slot. It reports false with the refusal if it gets none; then nothing was sent.
-func (l *lane) acquire(ctx context.Context, f *flight) (entity.Outcome, bool) {
+func (l *backendQueue) acquire(ctx context.Context, f *flight) (entity.Outcome, bool) {
 	now := l.svc.kernel.Now()
 	l.mu.Lock()
 	f.queuedAt = now
@@ -45,7 +45,7 @@
 }
 
 // grantAtOnce gives a slot without queueing if nobody waits. The caller holds the lock.
-func (l *lane) grantAtOnce(f *flight, now time.Duration) bool {
+func (l *backendQueue) grantAtOnce(f *flight, now time.Duration) bool {
 	if l.queue.Len() > 0 || l.next != nil || !l.capacity(now) {
 		return false
 	}
@@ -60,7 +60,7 @@
 }
 
 // enqueue puts the flight into the queue and starts what can start. The caller holds the lock.
-func (l *lane) enqueue(f *flight, now time.Duration) {
+func (l *backendQueue) enqueue(f *flight, now time.Duration) {
 	f.state = flightQueued
 	f.ready = make(chan struct{})
 	f.refusal = entity.Outcome{}
@@ -72,7 +72,7 @@
 }
 
 // capacity reports whether one more flight may run. The caller holds the lock.
-func (l *lane) capacity(now time.Duration) bool {
+func (l *backendQueue) capacity(now time.Duration) bool {
 	if l.alone {
 		return false
 	}
@@ -83,11 +83,11 @@
 	return ok
 }
 
-// occupied counts the slots in use and drops the loose ends whose deadline has passed. The caller holds the lock.
-func (l *lane) occupied(now time.Duration) int {
+// occupied counts the slots in use and drops the orphaned requests whose deadline has passed. The caller holds the lock.
+func (l *backendQueue) occupied(now time.Duration) int {
 	n := len(l.running)
-	keep := l.loose[:0]
-	for _, e := range l.loose {
+	keep := l.orphans[:0]
+	for _, e := range l.orphans {
 		if now >= e.until {
 			continue
 		}
@@ -97,12 +97,12 @@
 			l.wake(e.heldTill-now, now)
 		}
 	}
-	l.loose = keep
+	l.orphans = keep
 	return n
 }
 
 // wake starts what can start after d, if anybody waits. The earliest timer counts. The caller holds the lock.
-func (l *lane) wake(d, now time.Duration) {
+func (l *backendQueue) wake(d, now time.Duration) {
 	at := now + d
 	if l.queue.Len() == 0 && l.next == nil {
 		return
@@ -119,7 +119,7 @@
 }
 
 // pump gives free slots to queued flights. The caller holds the lock.
-func (l *lane) pump(now time.Duration) {
+func (l *backendQueue) pump(now time.Duration) {
 	for {
 		if l.next != nil {
 			l.startNext(now)
@@ -137,7 +137,7 @@
 }
 
 // start runs a flight that left the queue, as the quarantine demands. The caller holds the lock.
-func (l *lane) start(f *flight, now time.Duration) {
+func (l *backendQueue) start(f *flight, now time.Duration) {
 	switch l.svc.treat(f.suspect, now) {
 	case outcome.TreatHeld:
 		l.refuse(f, heldBack())
@@ -151,7 +151,7 @@
 }
 
 // startNext runs the suspect once nothing else runs. The caller holds the lock.
-func (l *lane) startNext(now time.Duration) {
+func (l *backendQueue) startNext(now time.Duration) {
 	f := l.next
 	if l.occupied(now) > 0 || !l.capacity(now) {
 		return
@@ -168,7 +168,7 @@
 }
 
 // grant gives the flight a slot. The caller holds the lock.
-func (l *lane) grant(f *flight, now time.Duration) {
+func (l *backendQueue) grant(f *flight, now time.Duration) {
 	f.state = flightRunning
 	f.grantedAt = now
 	f.sentAt = 0
@@ -179,19 +179,19 @@
 	l.svc.meters.granted(now - f.queuedAt)
 }
 
-func (l *lane) refuseLate(t *backpressure.Ticket[*flight]) {
+func (l *backendQueue) refuseLate(t *backpressure.Ticket[*flight]) {
 	l.refuse(t.Value, entity.NotRun(entity.ReasonDeadline, "the deadline cannot be met"))
 }
 
 // refuse ends the wait of a flight that is out of the queue. The caller holds the lock.
-func (l *lane) refuse(f *flight, o entity.Outcome) {
+func (l *backendQueue) refuse(f *flight, o entity.Outcome) {
 	f.state = flightIdle
 	f.refusal = o
 	close(f.ready)
 }
 
 // withdraw takes a waiting flight out of the queue. A flight that has got its slot meanwhile keeps it.
-func (l *lane) withdraw(f *flight, o entity.Outcome) {
+func (l *backendQueue) withdraw(f *flight, o entity.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch f.state {
@@ -207,7 +207,7 @@
 }
 
 // refuseIf refuses the waiting flights for which drop is true. The caller holds the lock.
-func (l *lane) refuseIf(drop func(*flight) bool, o entity.Outcome) {
+func (l *backendQueue) refuseIf(drop func(*flight) bool, o entity.Outcome) {
 	for _, t := range l.queue.RemoveIf(drop) {
 		l.refuse(t.Value, o)
 	}
@@ -221,7 +221,7 @@
 // vacate frees the flight's slot. A request that may still run on the back end keeps it for the time that a request
 // usually takes, so that the back end is not given more than its slots; holding it until the deadline would let
 // callers that cancel block the back end. The caller holds the lock.
-func (l *lane) vacate(f *flight, endKnown bool, now time.Duration) {
+func (l *backendQueue) vacate(f *flight, endKnown bool, now time.Duration) {
 	delete(l.running, f)
 	f.state = flightIdle
 	if f.alone {
@@ -230,7 +230,7 @@
 	}
 	if !endKnown && now < f.until {
 		grace := max(2*l.latency.Past(), minGrace)
-		l.loose = append(l.loose, looseEnd{
+		l.orphans = append(l.orphans, orphan{
 			part:     f.part,
 			epoch:    f.req.Epoch,
 			hash:     f.hash,
--- a/internal/service/dispatch/warmth.go
+++ b/internal/service/dispatch/warmth.go
@@ -59,12 +59,12 @@
 
 // resumeRamp takes over what the former primary has measured, if it handed the back end over and the process is the same. The
 // caller holds the lock.
-func (l *lane) resumeRamp(now time.Duration) {
+func (l *backendQueue) resumeRamp(now time.Duration) {
 	l.ramp.Resume(l.svc.warmths.limit(l.id, l.startID, now))
 }
 
 // sendWarmth tells the other members of the lease group how warm the back end is, since one of them is its next primary.
-func (l *lane) sendWarmth(ctx context.Context) {
+func (l *backendQueue) sendWarmth(ctx context.Context) {
 	l.mu.Lock()
 	m := service.Warmth{Backend: l.id, StartID: l.startID, Limit: l.ramp.Limit()}
 	l.mu.Unlock()
--- a/internal/service/session/attended.go
+++ b/internal/service/session/attended.go
@@ -64,9 +64,9 @@
 	releases   map[service.PartitionEpoch]*release
 	revoking   bool
 	nextRevoke time.Duration
-	// buried are partitions that were released by a lapse. A lost back end that returns must revoke them before its session
+	// lapsedReleases are partitions that were released by a lapse. A lost back end that returns must revoke them before its session
 	// is renewed, since a grant that was delayed on its way might arrive after the lapse.
-	buried partitionSet
+	lapsedReleases partitionSet
 	// foreignUntil is how long requests of a former primary may run on a back end that does not check tokens. That primary
 	// may have sent them up to the end of its lease, so MaxRun counts from gainedAt.
 	foreignUntil time.Duration
@@ -87,20 +87,20 @@
 func newAttended(p profile, term entity.Term, generation uint64, now time.Duration) *attended {
 	ctx, stop := context.WithCancel(context.Background())
 	return &attended{
-		profile:      p,
-		term:         term,
-		generation:   generation,
-		ctx:          ctx,
-		stop:         stop,
-		gainedAt:     now,
-		wakeAt:       never,
-		extendedFrom: now,
-		nextRenew:    now,
-		failingSince: never,
-		granted:      partitionSet{},
-		releases:     map[service.PartitionEpoch]*release{},
-		buried:       partitionSet{},
-		foreignUntil: now + withDrift(p.maxRun),
+		profile:        p,
+		term:           term,
+		generation:     generation,
+		ctx:            ctx,
+		stop:           stop,
+		gainedAt:       now,
+		wakeAt:         never,
+		extendedFrom:   now,
+		nextRenew:      now,
+		failingSince:   never,
+		granted:        partitionSet{},
+		releases:       map[service.PartitionEpoch]*release{},
+		lapsedReleases: partitionSet{},
+		foreignUntil:   now + withDrift(p.maxRun),
 	}
 }
 
--- a/internal/service/session/lost.go
+++ b/internal/service/session/lost.go
@@ -69,7 +69,7 @@
 // released. Those that do not move, since the log is down or nobody else can take them, are waited for only so long.
 func (s *Service) mayReturn(t *kernel.Turn, a *attended) bool {
 	switch {
-	case !a.answering || len(a.releases) > 0 || len(a.buried) > 0:
+	case !a.answering || len(a.releases) > 0 || len(a.lapsedReleases) > 0:
 		return false
 	case len(a.assigned.owned) == 0:
 		return true
--- a/internal/service/session/release.go
+++ b/internal/service/session/release.go
@@ -77,7 +77,7 @@
 		}
 	}
 	if a.answering {
-		for p := range a.buried {
+		for p := range a.lapsedReleases {
 			asked[p] = struct{}{}
 		}
 	}
@@ -91,7 +91,7 @@
 		return
 	}
 	for _, p := range parts {
-		delete(a.buried, p)
+		delete(a.lapsedReleases, p)
 		if r := a.releases[p]; r != nil {
 			r.revoked = true
 		}
@@ -165,7 +165,7 @@
 	for _, p := range parts {
 		a.releases[p].reported = true
 		if byLapse {
-			a.buried[p] = struct{}{}
+			a.lapsedReleases[p] = struct{}{}
 		}
 	}
 	s.meters.released.Inc(int64(len(parts)))
