Expect back ends at their preferred instances, not at a number of them

Cause: the test of spreading asked that at most half of the back ends stay with the first instance.

Ruled out: a handover that did not happen (the log of the run shows no misplaced lease).

--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -10,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pollenpier/pollenpier/internal/decide/rendezvous"
 	"github.com/pollenpier/pollenpier/internal/standin/backend"
 )
 
@@ -37,6 +40,19 @@
 	return nil
 }
 
+// idOf returns the id of an instance.
+func (s *site) idOf(i *instance) string {
+	s.t.Helper()
+	resp, err := http.Get("http://" + i.admin + "/status")
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	var status struct {
+		Instance string `json:"instance"`
+	}
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&status))
+	return status.Instance
+}
+
 // keyOn returns a key that ran on a back end.
 func (s *site) keyOn(name string) string {
 	s.t.Helper()
@@ -107,13 +123,19 @@
 	}
 	s.waitServed(keys)
 	l := s.startLoad(4, keys, s.instances...)
+	ids := map[*instance]string{}
+	for _, i := range s.instances {
+		ids[i] = s.idOf(i)
+	}
 	s.eventually(func() bool {
-		held := map[*instance]int{}
 		for _, name := range names {
-			held[s.primaryOf(name)]++
+			order := rendezvous.Order("backend/"+name, slices.Collect(maps.Values(ids)))
+			if ids[s.primaryOf(name)] != order[0] {
+				return false
+			}
 		}
-		return held[s.instances[0]] <= len(names)/2
-	}, "back ends do not spread")
+		return true
+	}, "back ends do not move to their preferred instances")
 	time.Sleep(time.Second)
 	seen := l.end()
 	require.Len(t, seen, 1, "requests were lost: %v", seen)
