Keep the state of a back end that is first seen after a minute

Cause: the state of a new back end had no time of use yet when the unused ones were swept, so that it was dropped at once if the process ran for longer than a minute, and the choice of a back end read a missing state: the process ended with a nil dereference. Ruled out: a race of two requests (the lock is held throughout). Change: the time of use is set when the state is made. Measured: TestBackEndSeenLateKeepsItsState panics before, passes after.

--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -133,7 +133,7 @@
 	if e == nil || e.born != b.Born {
 		e = &endpoint{
 			Endpoint: balance.NewEndpoint(b.Slots), id: b.ID, born: b.Born, hash: shortHash(string(b.ID)), ramp: balance.NewRamp(),
-			preference: float64(shortHash(string(s.site.ID)+string(b.ID))) / math.MaxUint32,
+			preference: float64(shortHash(string(s.site.ID)+string(b.ID))) / math.MaxUint32, used: now,
 		}
 		s.endpoints[b.ID], s.byHash[e.hash] = e, e
 		s.sweep(now)
--- a/internal/service/loads/loads_test.go
+++ b/internal/service/loads/loads_test.go
@@ -82,6 +82,23 @@
 	}
 }
 
+// Guards against a process that ends: the state of a back end that was first seen more than a minute after the process's start was
+// dropped as unused while it was chosen.
+func TestBackEndSeenLateKeepsItsState(t *testing.T) {
+	s := newLoads()
+	late := 2 * time.Minute
+	q := service.LoadQuery{
+		Service: &catalog.Service{Name: "s"}, Candidates: []*catalog.Backend{{ID: "a", Slots: 2, Zone: "a"}}, Zone: "a", Instances: 1,
+		Terms: balance.Terms{Left: time.Second, Target: 10 * time.Second}, Now: late,
+	}
+	choice, attempt := s.Choose(q)
+	require.NotNil(t, choice.Backend)
+	require.Equal(t, 1, attempt.Position)
+	q.Now += time.Second
+	_, attempt = s.Choose(q)
+	require.Equal(t, 2, attempt.Position, "the first request is still counted")
+}
+
 // Guards against repeats beyond the budget that all instances share.
 func TestRepeatsKeepTheirBudget(t *testing.T) {
 	const instances, requests = 12, 1000
--- /dev/null
+++ b/internal/service/router/router_test.go
@@ -0,0 +1,140 @@
+package router_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/catalog"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+)
+
+const key = "k"
+
+func unlimited() *catalog.Customer { return &catalog.Customer{ID: "florist", Keys: []string{key}} }
+
+// Guards against a customer that exceeds its rate because repeats of its lookups run again without a token: half of the back
+// ends that fail would add half of its requests.
+func TestRepeatThatRunsAgainTakesAToken(t *testing.T) {
+	const burst = 12
+	b := newBench(t, &catalog.Customer{ID: "florist", Keys: []string{key}, Rate: 0.001, Burst: burst})
+	b.endpoints.answer = succeeding
+	b.call("/lookups/1", key, false) // begins the bucket
+	b.clock.Advance(4 * time.Hour)   // fills it
+	b.endpoints.delivered = nil
+	for name, answer := range map[string]func(service.Delivery) service.DeliveryResult{"failure": failing, "broken": broken} {
+		b.endpoints.answer = answer
+		for range burst {
+			b.call("/lookups/1", key, false)
+		}
+		require.LessOrEqual(t, len(b.endpoints.delivered), burst, name)
+	}
+	require.NotEmpty(t, b.endpoints.delivered)
+}
+
+// Guards against an earlier answer that is lost when there is no token for another attempt: the request has run, so a refusal
+// would be untrue.
+func TestRequestThatRanIsNotRefusedForWantOfAToken(t *testing.T) {
+	b := newBench(t, &catalog.Customer{ID: "florist", Keys: []string{key}, Rate: 4, Burst: 1})
+	b.endpoints.answer = failing
+	b.clock.Advance(time.Minute)
+	reply := b.call("/lookups/1", key, false)
+	require.Equal(t, entity.OutcomeAnswered, reply.Outcome.Kind)
+	require.Equal(t, http.StatusInternalServerError, reply.Status)
+}
+
+// Guards against a lookup that fails although another back end would answer it.
+func TestLookupIsSentToAnotherBackEndAfterAFailure(t *testing.T) {
+	b := newBench(t, unlimited())
+	b.endpoints.answer = func(d service.Delivery) service.DeliveryResult {
+		if len(b.endpoints.delivered) < attempts {
+			return failing(d)
+		}
+		return succeeding(d)
+	}
+	reply := b.call("/lookups/1", key, false)
+	require.Equal(t, http.StatusOK, reply.Status)
+	require.Len(t, b.endpoints.delivered, attempts)
+	require.NotEqual(t, b.endpoints.delivered[0], b.endpoints.delivered[1])
+	require.NotEqual(t, b.endpoints.delivered[1], b.endpoints.delivered[2])
+}
+
+// Guards against an order that runs twice: whatever may have run is never sent again.
+func TestOrderThatMayHaveRunIsSentOnce(t *testing.T) {
+	b := newBench(t, unlimited())
+	for _, answer := range []func(service.Delivery) service.DeliveryResult{broken, failing} {
+		b.endpoints.answer, b.endpoints.delivered = answer, nil
+		reply := b.call("/orders/1", key, true)
+		require.NotEqual(t, entity.OutcomeNotRun, reply.Outcome.Kind)
+		require.Len(t, b.endpoints.delivered, 1)
+	}
+}
+
+// Guards against a request that is called not run although an earlier attempt ran.
+func TestRefusalAfterAnAttemptThatRanIsNotCalledNotRun(t *testing.T) {
+	b := newBench(t, unlimited())
+	b.endpoints.answer = func(d service.Delivery) service.DeliveryResult {
+		if len(b.endpoints.delivered) == 1 {
+			return broken(d)
+		}
+		return rejecting(d)
+	}
+	reply := b.call("/lookups/1", key, false)
+	require.Equal(t, entity.OutcomeUnknown, reply.Outcome.Kind)
+}
+
+// Guards against a request that goes round between a table and an owner that disagree: the table is read again and the caller is
+// told when to come back.
+func TestKeyThatItsOwnerRefusesIsGivenUp(t *testing.T) {
+	b := newBench(t, unlimited())
+	b.endpoints.answer = func(service.Delivery) service.DeliveryResult {
+		return service.DeliveryResult{Outcome: entity.NotRun(entity.ReasonFenced, "not held"), Misdirected: true}
+	}
+	reply := b.call("/orders/1", key, true)
+	require.Equal(t, entity.OutcomeNotRun, reply.Outcome.Kind)
+	require.Positive(t, reply.RetryAfter)
+	require.Equal(t, len(b.endpoints.delivered), b.ownership.misdirected)
+	require.LessOrEqual(t, len(b.endpoints.delivered), 3)
+}
+
+// Guards against requests that no configuration allows: each is refused with its own cause and reaches no back end.
+func TestCallsThatNoConfigurationAllowsReachNoBackEnd(t *testing.T) {
+	b := newBench(t, unlimited())
+	b.endpoints.answer = succeeding
+	for _, c := range []struct {
+		path, key string
+		routed    bool
+		reason    entity.Reason
+	}{
+		{"/lookups/1", "other", false, entity.ReasonUnauthenticated},
+		{"/lookups/1", "", false, entity.ReasonUnauthenticated},
+		{"/nowhere/1", key, false, entity.ReasonUnknownRoute},
+		{"/orders/1", key, false, entity.ReasonBadRequest},
+	} {
+		reply := b.call(c.path, c.key, c.routed)
+		require.Equal(t, entity.OutcomeNotRun, reply.Outcome.Kind, c.path)
+		require.Equal(t, c.reason, reply.Outcome.Reason, c.path)
+	}
+	b.fleet.view = &service.FleetView{}
+	require.Equal(t, entity.ReasonStopping, b.call("/lookups/1", key, false).Outcome.Reason)
+	require.Empty(t, b.endpoints.delivered)
+}
+
+// Guards against requests that are sent to back ends that are leaving, or in an evacuated zone.
+func TestLeavingBackEndsAndEvacuatedZonesGetNoNewWork(t *testing.T) {
+	b := newBench(t, unlimited())
+	b.endpoints.answer = succeeding
+	list := b.fleet.view.Services[lookups]
+	list[0].Draining = true
+	list[1].Zone = "b"
+	b.fleet.view.Evacuated = map[entity.Zone]bool{"b": true}
+	for range 5 {
+		require.Equal(t, http.StatusOK, b.call("/lookups/1", key, false).Status)
+	}
+	for _, id := range b.endpoints.delivered {
+		require.Equal(t, list[2].ID, id)
+	}
+}
