Take a token of the customer's rate for repeats that run again; unit tests of the router

Cause: a lookup that was sent to a second back end after a failure or a broken connection ran twice and took one token. A request that back ends rejected without running it lost its token. Change: a repeat after an attempt that may have run takes a token and is not made without one, the earlier answer is then given; a request that did not run returns its token. The router has a test harness with stand-ins of its neighbours.

--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -102,7 +102,7 @@
 	b.demandAt = now
 }
 
-// Return gives back the token of a request that reached no back end.
+// Return gives back the token of a request that no back end has run.
 func (b *Bucket) Return() { b.level = min(b.level+1, b.burst) }
 
 // Charge takes the admissions of another instance.
--- a/internal/service/fleet.go
+++ b/internal/service/fleet.go
@@ -305,7 +305,7 @@
 type LoadTable interface {
 	// Admit takes a token of a customer's rate. The second result is when the next one is due.
 	Admit(customer *catalog.Customer, members *MembersView, now time.Duration) (bool, time.Duration)
-	// Readmit returns the token of a request that reached no back end.
+	// Readmit returns the token of a request that no back end has run.
 	Readmit(customer *catalog.Customer)
 	// Choose picks one of the back ends and counts the request there.
 	Choose(q LoadQuery) (Choice, Attempt)
--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -38,9 +38,9 @@
 		if choice.Backend == nil {
 			return s.give(best, s.refusal(c, choice))
 		}
-		if c.arrivals > 0 && !s.loads.Spend(c.service.Name) {
+		if outcome, ok := s.mayRepeat(c); !ok {
 			s.loads.Settle(attempt, &service.DeliveryResult{Outcome: entity.NotRun(entity.ReasonCanceled, "")}, s.kernel.Now())
-			return s.give(best, service.Reply{Outcome: entity.NotRun(entity.ReasonShed, "no repeats left"), RetryAfter: choice.Expected})
+			return s.give(best, service.Reply{Outcome: outcome, RetryAfter: choice.Expected})
 		}
 		result := s.send(ctx, c, choice.Backend, attempt)
 		switch {
@@ -79,6 +79,23 @@
 	}
 }
 
+// mayRepeat takes what another attempt costs if an earlier one reached a back end: a repeat of the service's budget, and a token of
+// the customer's rate if the earlier one may have run, since the customer is then served twice.
+func (s *Service) mayRepeat(c *request) (entity.Outcome, bool) {
+	if c.arrivals == 0 {
+		return entity.Outcome{}, true
+	}
+	if c.runs > 0 && c.customer != nil {
+		if ok, _ := s.loads.Admit(c.customer, s.members.MembersView(), s.kernel.Now()); !ok {
+			return entity.NotRun(entity.ReasonRateLimited, "customer's rate leaves no repeat"), false
+		}
+	}
+	if !s.loads.Spend(c.service.Name) {
+		return entity.NotRun(entity.ReasonShed, "no repeats left"), false
+	}
+	return entity.Outcome{}, true
+}
+
 // give returns the reply of an earlier attempt that ran, if there is one: a refusal of the last attempt would then be untrue.
 func (s *Service) give(earlier *service.Reply, last service.Reply) service.Reply {
 	if earlier != nil {
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -146,7 +146,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.deadline-s.kernel.Now())
 	defer cancel()
 	reply := s.attempts(ctx, c)
-	if c.arrivals == 0 && c.customer != nil {
+	if c.runs == 0 && c.customer != nil {
 		s.loads.Readmit(c.customer)
 	}
 	return reply
--- a/internal/service/router/router_test.go
+++ b/internal/service/router/router_test.go
@@ -20,19 +20,30 @@
 // ends that fail would add half of its requests.
 func TestRepeatThatRunsAgainTakesAToken(t *testing.T) {
 	const burst = 12
-	b := newBench(t, &catalog.Customer{ID: "florist", Keys: []string{key}, Rate: 0.001, Burst: burst})
-	b.endpoints.answer = succeeding
-	b.call("/lookups/1", key, false) // begins the bucket
-	b.clock.Advance(4 * time.Hour)   // fills it
-	b.endpoints.delivered = nil
 	for name, answer := range map[string]func(service.Delivery) service.DeliveryResult{"failure": failing, "broken": broken} {
-		b.endpoints.answer = answer
+		b := newBench(t, &catalog.Customer{ID: "florist", Keys: []string{key}, Rate: 0.001, Burst: burst})
+		b.endpoints.answer = succeeding
+		b.call("/lookups/1", key, false) // begins the bucket
+		b.clock.Advance(4 * time.Hour)   // fills it
+		b.endpoints.answer, b.endpoints.delivered = answer, nil
 		for range burst {
 			b.call("/lookups/1", key, false)
 		}
-		require.LessOrEqual(t, len(b.endpoints.delivered), burst, name)
+		require.Len(t, b.endpoints.delivered, burst, name)
+	}
+}
+
+// Guards against a customer that is refused within its rate because back ends rejected its requests without running them.
+func TestRejectedRequestGivesItsTokenBack(t *testing.T) {
+	b := newBench(t, &catalog.Customer{ID: "florist", Keys: []string{key}, Rate: 0.001, Burst: 2})
+	b.endpoints.answer = rejecting
+	b.call("/orders/1", key, true) // begins the bucket
+	b.clock.Advance(4 * time.Hour)
+	for range 3 {
+		require.Equal(t, entity.ReasonShed, b.call("/orders/1", key, true).Outcome.Reason)
 	}
-	require.NotEmpty(t, b.endpoints.delivered)
+	b.endpoints.answer = succeeding
+	require.Equal(t, http.StatusOK, b.call("/orders/1", key, true).Status)
 }
 
 // Guards against an earlier answer that is lost when there is no token for another attempt: the request has run, so a refusal
