Tell refused callers when they are likely to find room, not when the next place is free

Change: the time told is divided by the share of requests that found room lately at the owner of the key, or at the service, and by the crowd of an overloaded customer, at most 5 s.

--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -18,6 +18,7 @@
 // reservePart bounds the part of the burst that is kept in reserve for admissions that are not known yet.
 const reservePart = 0.5
 
+// Admission where instances hear of each other late.
 const (
 	// promptLag is the lag up to which the reserve alone keeps the rate.
 	promptLag = 250 * time.Millisecond
@@ -34,6 +35,8 @@
 	// partHold is how many requests the part of an instance holds at least. With one, an instance that is asked for little more than
 	// its part would lose much of it, since requests do not come at equal intervals.
 	partHold = 3
+	// maxRetry bounds the time that refused callers of an overloaded customer are told. A rush is likely to have ended by then.
+	maxRetry = 5 * time.Second
 	// maxDebt bounds how far admissions that are heard of late bring a bucket below zero, in bursts.
 	maxDebt = 4
 )
@@ -105,10 +108,10 @@
 	}
 	needed := 1 + min(b.rate*o.Lag.Seconds(), b.burst*reservePart*o.Share)
 	if b.level < needed {
-		return false, time.Duration((needed - b.level) / (b.rate * o.Share) * float64(time.Second))
+		return false, b.retry(now, o, time.Duration((needed-b.level)/(b.rate*o.Share)*float64(time.Second)))
 	}
 	if wait := b.ownWait(now, o); wait > 0 {
-		return false, wait
+		return false, b.retry(now, o, wait)
 	}
 	b.level--
 	b.part--
@@ -133,6 +136,16 @@
 	return 0
 }
 
+// retry returns when a refused caller is likely to be admitted, if the next token is due after wait. Of an overloaded customer's
+// callers only some get one each time.
+func (b *Bucket) retry(now time.Duration, o Others, wait time.Duration) time.Duration {
+	if !b.isOverloaded(now) {
+		return wait
+	}
+	crowd := max(1, b.demand.read(now)/b.partRate(now, o))
+	return min(time.Duration(crowd*float64(wait)), max(maxRetry, wait))
+}
+
 func (b *Bucket) isOverloaded(now time.Duration) bool {
 	return b.allDemand.read(now) > overloaded*b.rate
 }
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -202,6 +202,31 @@
 	}
 }
 
+// Guards against callers of an overloaded customer who are all told to come back for the next token, which one of them gets.
+func TestCallersOfAnOverloadedCustomerAreSpread(t *testing.T) {
+	const rate, asked = 10.0, 80 // a second
+	others := quota.Others{Share: 1, Heard: 1, Lag: time.Second}
+	b := quota.NewBucket(rate, rate, 0)
+	refused, short := 0, 0
+	for i := range asked * 20 {
+		now := time.Duration(i) * time.Second / asked
+		if i%asked == 0 {
+			b.Told(asked, now)
+		}
+		ok, retry := b.Take(now, others)
+		if now < 5*time.Second || ok {
+			continue
+		}
+		refused++
+		if retry < 200*time.Millisecond { // two tokens
+			short++
+		}
+		require.LessOrEqual(t, retry, 5*time.Second)
+	}
+	require.Positive(t, refused)
+	require.Less(t, float64(short), 0.4*float64(refused))
+}
+
 // Guards against two halves that cannot hear each other and admit the whole rate each.
 func TestHalvesThatAreCutAdmitTheirPart(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -45,6 +45,7 @@
 	byName    map[uint32]*customer
 	budgets   map[entity.ServiceName]*budget
 	parts     map[string]*part
+	pressures map[entity.ServiceName]*balance.Pressure
 	peerUse   map[entity.InstanceID]map[uint32]use
 	keys      []uint32
 	crashes   crashes
@@ -59,6 +60,8 @@
 	hash uint32
 	ramp *balance.Ramp
 	used time.Duration
+	// pressure is used for owners of keys only.
+	pressure balance.Pressure
 	// preference is this instance's own, see balance.Candidate.
 	preference float64
 }
@@ -96,6 +99,7 @@
 		byName:         map[uint32]*customer{},
 		budgets:        map[entity.ServiceName]*budget{},
 		parts:          map[string]*part{},
+		pressures:      map[entity.ServiceName]*balance.Pressure{},
 		peerUse:        map[entity.InstanceID]map[uint32]use{},
 		crashes:        newCrashes(),
 		refusedRates:   metrics.GetOrRegisterCounter("loads.refused_rate", r),
@@ -239,7 +243,9 @@
 		expected := c.Endpoint.Expected(q.Now, c.Cold)
 		if ok, retry := balance.Worthwhile(expected, c.Endpoint.Work(q.Now), q.Terms); !ok {
 			s.refusedLoad.Inc(1)
-			return service.Choice{Reason: entity.ReasonQueueFull, Expected: expected, Retry: retry}, service.Attempt{}
+			pressure := s.pressure(q, b.ID)
+			pressure.Count(false, q.Now)
+			return service.Choice{Reason: entity.ReasonQueueFull, Expected: expected, Retry: pressure.Retry(retry)}, service.Attempt{}
 		}
 		e := s.endpoints[b.ID]
 		if c.Cold && q.Service.WarmupRate > 0 && !e.ramp.Take(q.Now, q.Service.WarmupRate, q.Instances, e.preference) {
@@ -248,10 +254,24 @@
 			candidates, backends = candidates[:len(candidates)-1], backends[:len(backends)-1]
 			continue
 		}
+		s.pressure(q, b.ID).Count(true, q.Now)
 		return service.Choice{Backend: b, Expected: expected}, service.Attempt{Backend: b.ID, Position: e.Start(), Sent: q.Now}
 	}
 }
 
+// pressure returns the pressure on the place of a request: the owner of its key, or the whole service. The caller holds the lock.
+func (s *Service) pressure(q service.LoadQuery, owner entity.BackendID) *balance.Pressure {
+	if q.Service.Partitioned {
+		return &s.endpoints[owner].pressure
+	}
+	p := s.pressures[q.Service.Name]
+	if p == nil {
+		p = &balance.Pressure{}
+		s.pressures[q.Service.Name] = p
+	}
+	return p
+}
+
 // unreachableRetry is when a caller may try again if no back end can be reached.
 const unreachableRetry = 250 * time.Millisecond
 
