Bound the wait of an instance whose part of a rate is very small

Cause: the part of an overloaded customer's rate decays with what an instance was asked for. After a minute without requests the time until its next token was beyond a duration, became negative, and the instance admitted every request. Found on reading the code. Ruled out: the level of the bucket as a guard (it is full while the others keep the rate). Change: the time is bounded before it is converted. Measured: TestIdleInstanceOfAnOverloadedCustomerKeepsItsPart admits 100 of 100 before, 4 at most after.

--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -132,7 +132,7 @@
 		if b.part >= 1 {
 			return 0
 		}
-		return time.Duration((1 - b.part) / b.partRate(now, o) * float64(time.Second))
+		return bounded((1 - b.part) / b.partRate(now, o))
 	case b.own >= b.ownLimit(now, o):
 		return b.ownAt + o.Lag - now
 	}
@@ -146,7 +146,13 @@
 		return wait
 	}
 	crowd := max(1, b.demand.read(now)/b.partRate(now, o))
-	return min(time.Duration(crowd*float64(wait)), max(maxRetry, wait))
+	return max(wait, bounded(crowd*wait.Seconds()))
+}
+
+// bounded returns a time of at most maxRetry. The part of an instance that has been idle for long is so small that the time until its
+// next token is beyond any duration.
+func bounded(seconds float64) time.Duration {
+	return time.Duration(min(seconds, maxRetry.Seconds()) * float64(time.Second))
 }
 
 func (b *Bucket) isOverloaded(now time.Duration) bool {
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -236,6 +236,30 @@
 	require.Less(t, float64(short), 0.4*float64(refused))
 }
 
+// Guards against an instance that has been idle for long and admits without a limit, because the time until its next token is
+// too large for a duration.
+func TestIdleInstanceOfAnOverloadedCustomerKeepsItsPart(t *testing.T) {
+	const rate = 400.0
+	others := quota.Others{Share: 1, Heard: 82, Lag: time.Second}
+	b := quota.NewBucket(rate, rate, 0)
+	b.Told(1, 0)
+	for now := time.Duration(0); now <= 2*time.Minute; now += time.Second {
+		b.HeardDemand(8*rate, now)
+		b.Charge(0.9 * rate)
+	}
+	admitted := 0
+	for i := range 100 {
+		ok, retry := b.Take(2*time.Minute+time.Duration(i)*time.Millisecond, others)
+		if ok {
+			admitted++
+			continue
+		}
+		require.Positive(t, retry)
+		require.LessOrEqual(t, retry, 5*time.Second)
+	}
+	require.LessOrEqual(t, admitted, 4)
+}
+
 // Guards against two halves that cannot hear each other and admit the whole rate each.
 func TestHalvesThatAreCutAdmitTheirPart(t *testing.T) {
 	for seed := range uint64(20) {
