--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -98,7 +98,12 @@
 )
 
 // newBench builds a router before three back ends of each service. The keys of orders are held by the first of them.
-func newBench(t *testing.T, customer *catalog.Customer) *bench {
+func newBench(t testing.TB, customer *catalog.Customer) *bench {
+	t.Helper()
+	return newBenchWithLog(t, customer, zap.NewNop())
+}
+
+func newBenchWithLog(t testing.TB, customer *catalog.Customer, log *zap.Logger) *bench {
 	t.Helper()
 	routes := []*catalog.Route{
 		{Name: "lookups", Host: host, PathPrefix: "/lookups/", Targets: []catalog.Target{{Service: lookups, Weight: 1}}, Idempotent: true, Timeout: 2 * time.Second, MaxAttempts: attempts},
@@ -122,7 +127,7 @@
 	b.ownership = &ownership{stub: stub{service.Keys}, view: &service.KeyView{Version: 1, Changed: make(chan struct{}), State: ownedBy("orders1")}}
 	b.endpoints = &scripted{stub: stub{service.Endpoints}}
 	site := service.Site{ID: "one", Zone: "a", RetryRatio: 1, RetrySlack: 100, DrainTime: 2 * time.Second}
-	b.router = router.New(site, zap.NewNop(), metrics.NewRegistry())
+	b.router = router.New(site, log, metrics.NewRegistry())
 	k, err := kernel.New(b.clock, []kernel.Service{
 		b.fleet, b.ownership, alone{stub{service.Members}}, loads.New(site, metrics.NewRegistry()), b.endpoints, b.router,
 	})
