Report requests whose connection closes without an answer

Panics of handlers are event 2302, lines of net/http's own log event 2303. The stop itself is unchanged.

--- /dev/null
+++ b/internal/httpserver/conn.go
@@ -0,0 +1,166 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// phase is the progress of a connection's current request.
+type phase int
+
+// Phases of a connection.
+const (
+	// phaseWaiting means that no byte of the next request has been read.
+	phaseWaiting phase = iota
+	// phaseReading means that part of a request has been read and no handler has begun.
+	phaseReading
+	// phaseHandling means that a handler serves the request.
+	phaseHandling
+	// phaseAnswered means that the handler has finished. The rest of the answer may still be in a buffer.
+	phaseAnswered
+)
+
+// String returns the name of the phase that log lines use.
+func (p phase) String() string {
+	return [...]string{"waiting", "reading", "handling", "answered"}[p]
+}
+
+// conn is one caller's connection. It records how far the current request has got.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu         sync.Mutex
+	phase      phase
+	request    string // the caller's ID of the request, see Identify
+	began      time.Time
+	bytes      int   // bytes read of the request
+	written    bool  // part of the answer has been written
+	peerClosed bool  // the caller has closed or reset the connection
+	writeError error // the answer could not be written
+	aborted    Cause // why the handler did not return normally
+	closed     bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.countRead(n)
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.peerClosed = true
+	}
+	return n, err
+}
+
+func (c *conn) countRead(n int) {
+	if c.phase == phaseWaiting {
+		c.phase, c.began = phaseReading, time.Now()
+	}
+	c.bytes += n
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = c.written || n > 0
+	if err != nil {
+		c.writeError = err
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending direction. The HTTP server calls it before it closes a connection with unread data.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. It reports a request that has no complete answer.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	report := c.unanswered()
+	c.mu.Unlock()
+	if first {
+		c.server.forget(c, report)
+	}
+	return c.Conn.Close()
+}
+
+// unanswered describes the current request if it has no complete answer, and returns nil otherwise. The caller holds the lock.
+func (c *conn) unanswered() *Unanswered {
+	complete := c.phase == phaseAnswered && c.written && c.writeError == nil
+	rejected := c.phase == phaseReading && c.written // net/http rejects invalid and incomplete requests without a handler
+	if c.phase == phaseWaiting || complete || rejected {
+		return nil
+	}
+	return &Unanswered{
+		Cause: c.cause(), Phase: c.phase.String(), Request: c.request, Bytes: c.bytes, Age: time.Since(c.began), Partial: c.written,
+	}
+}
+
+// cause returns why the connection is closed before the request has a complete answer. The caller holds the lock.
+func (c *conn) cause() Cause {
+	switch {
+	case c.aborted != "":
+		return c.aborted
+	case c.peerClosed:
+		return CauseCallerClosed
+	case c.writeError != nil:
+		return CauseWriteFailed
+	default:
+		return CauseServerClosed
+	}
+}
+
+// handling records that a handler serves the current request.
+func (c *conn) handling() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseWaiting {
+		c.began = time.Now()
+	}
+	c.phase = phaseHandling
+}
+
+// handled records that the handler has returned normally.
+func (c *conn) handled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseAnswered
+}
+
+// abort records that the handler did not return normally, and returns the caller's ID of the request.
+func (c *conn) abort(cause Cause) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = cause
+	return c.request
+}
+
+// identify records the caller's ID of the current request.
+func (c *conn) identify(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request = id
+}
+
+// wait records that the answer is complete and that the connection waits for the next request.
+func (c *conn) wait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.request, c.bytes, c.written = phaseWaiting, "", 0, false
+}
--- /dev/null
+++ b/internal/httpserver/server.go
@@ -0,0 +1,201 @@
+// Package httpserver is the HTTP server for callers of both kinds of instance. Unlike the server of net/http it knows of every
+// connection how far its current request has got, and reports each connection that is closed under a request without a complete
+// answer.
+package httpserver
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/telemetry"
+)
+
+// Cause is the reason why a connection was closed under a request without a complete answer.
+type Cause string
+
+// Causes of unanswered requests.
+const (
+	CauseCallerClosed Cause = "caller-closed"
+	CauseWriteFailed  Cause = "write-failed"
+	CauseAborted      Cause = "answer-aborted" // the handler truncated the answer
+	CausePanic        Cause = "panic"
+	CauseServerClosed Cause = "server-closed"
+)
+
+// Unanswered describes a request whose connection was closed before it had a complete answer.
+type Unanswered struct {
+	Cause   Cause
+	Phase   string        // how far the request had got: reading, handling or answered
+	Request string        // the caller's ID of the request, if it is known
+	Bytes   int           // bytes read of the request
+	Age     time.Duration // time since the first byte was read
+	Partial bool          // part of the answer was written
+}
+
+// Options configures a Server.
+type Options struct {
+	Handler http.Handler
+	// ReadHeaderTimeout bounds the time to read the headers of a request.
+	ReadHeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for its next request. Zero means no limit.
+	IdleTimeout time.Duration
+	// Name is the prefix of the metrics.
+	Name     string
+	Log      *zap.Logger
+	Registry metrics.Registry
+}
+
+// Server serves HTTP on one listener.
+type Server struct {
+	options Options
+	http    *http.Server
+	open    metrics.Gauge
+
+	mu         sync.Mutex
+	conns      map[*conn]struct{}
+	stoppingAt time.Time
+}
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// New returns a server. It registers its metrics in o.Registry.
+func New(o Options) *Server {
+	s := &Server{options: o, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry), conns: map[*conn]struct{}{}}
+	s.http = &http.Server{
+		Handler:           http.HandlerFunc(s.handle),
+		ReadHeaderTimeout: o.ReadHeaderTimeout,
+		IdleTimeout:       o.IdleTimeout,
+		ErrorLog:          log.New(problemWriter{o.Log}, "", 0),
+		ConnState:         connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	return s
+}
+
+// Identify tells the server the caller's ID of the request with the context ctx, which its log lines then name.
+func Identify(ctx context.Context, id string) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.identify(id)
+	}
+}
+
+// Serve accepts connections until the server is stopped. It then returns http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&listener{Listener: l, server: s}) }
+
+// Shutdown closes the listener and idle connections, and waits until all requests have been answered or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stoppingAt = time.Now()
+	s.mu.Unlock()
+	return s.http.Shutdown(ctx)
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// listener tracks the connections that it accepts.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	socket, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: socket, server: l.server}
+	l.server.track(c)
+	return c, nil
+}
+
+func (s *Server) track(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	s.open.Update(int64(len(s.conns)))
+}
+
+// forget drops a connection that is being closed. report is nil unless its request has no complete answer.
+func (s *Server) forget(c *conn, report *Unanswered) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.open.Update(int64(len(s.conns)))
+	stoppingAt := s.stoppingAt
+	s.mu.Unlock()
+	if report != nil {
+		s.report(c, report, stoppingAt)
+	}
+}
+
+// report counts and logs a request without a complete answer.
+func (s *Server) report(c *conn, u *Unanswered, stoppingAt time.Time) {
+	metrics.GetOrRegisterCounter(s.options.Name+".unanswered."+string(u.Cause), s.options.Registry).Inc(1)
+	event := telemetry.EventRequestUnanswered
+	if u.Cause == CauseCallerClosed {
+		event = telemetry.EventRequestLeft
+	}
+	fields := []zap.Field{
+		zap.String("request", u.Request), zap.Stringer("caller", c.RemoteAddr()), zap.String("cause", string(u.Cause)),
+		zap.String("phase", u.Phase), zap.Int("bytes", u.Bytes), zap.Duration("age", u.Age), zap.Bool("partial", u.Partial),
+	}
+	if !stoppingAt.IsZero() {
+		fields = append(fields, zap.Duration("stopping_for", time.Since(stoppingAt)))
+	}
+	event.Log(s.options.Log, fields...)
+}
+
+// handle serves one request and records its progress at the connection.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		panic("request without a tracked connection")
+	}
+	c.handling()
+	defer s.recoverPanic(c)
+	s.options.Handler.ServeHTTP(w, r)
+	c.handled()
+}
+
+// recoverPanic logs a panic of a handler, after which net/http closes the connection. Handlers panic with http.ErrAbortHandler to
+// truncate an answer.
+func (s *Server) recoverPanic(c *conn) {
+	cause := recover()
+	switch cause {
+	case nil:
+		return
+	case http.ErrAbortHandler:
+		c.abort(CauseAborted)
+	default:
+		request := c.abort(CausePanic)
+		telemetry.EventHandlerPanicked.Log(s.options.Log, zap.String("request", request), zap.Any("panic", cause), zap.Stack("stack"))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// connState follows the states of a connection.
+func connState(socket net.Conn, state http.ConnState) {
+	if c, ok := socket.(*conn); ok && state == http.StateIdle {
+		c.wait()
+	}
+}
+
+// problemWriter writes the lines of net/http's error log as events.
+type problemWriter struct{ log *zap.Logger }
+
+// Write implements io.Writer.
+func (w problemWriter) Write(line []byte) (int, error) {
+	telemetry.EventHTTPServerProblem.Log(w.log, zap.ByteString("problem", line))
+	return len(line), nil
+}
--- a/internal/service/gateway/gateway.go
+++ b/internal/service/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/pollenpier/pollenpier/internal/httpserver"
 	"github.com/pollenpier/pollenpier/internal/kernel"
 	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/telemetry"
@@ -47,6 +48,7 @@
 	settings  Settings
 	self      service.Self
 	log       *zap.Logger
+	registry  metrics.Registry
 	metrics   *meters
 	kernel    *kernel.Kernel
 	routing   service.RoutingSource
@@ -65,7 +67,7 @@
 
 // listener is one HTTP server with its bound address.
 type listener struct {
-	server *http.Server
+	server *httpserver.Server
 	socket net.Listener
 }
 
@@ -75,6 +77,7 @@
 		self:     self,
 		settings: settings,
 		log:      log,
+		registry: registry,
 		metrics:  newMeters(registry),
 		slots:    make(chan struct{}, maxInFlight),
 	}
@@ -136,7 +139,9 @@
 	}
 	engine := gin.New()
 	engine.NoRoute(func(c *gin.Context) { g.handle(c, access) })
-	server := &http.Server{Handler: engine, ReadHeaderTimeout: readHeaderTimeout}
+	server := httpserver.New(httpserver.Options{
+		Handler: engine, ReadHeaderTimeout: readHeaderTimeout, Name: "gateway." + string(access), Log: g.log, Registry: g.registry,
+	})
 	telemetry.EventListening.Log(g.log, zap.String("access", string(access)), zap.Stringer("address", socket.Addr()))
 	go func() {
 		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/service/gateway/handle.go
+++ b/internal/service/gateway/handle.go
@@ -20,6 +20,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/decide/routing"
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/httpserver"
 	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/telemetry"
 	"github.com/pollenpier/pollenpier/operator"
@@ -35,6 +36,7 @@
 	g.metrics.inFlight.Inc(1)
 	defer g.metrics.inFlight.Dec(1)
 	id := newRequestID()
+	httpserver.Identify(c.Request.Context(), id)
 	ctx := propagation.TraceContext{}.Extract(c.Request.Context(), propagation.HeaderCarrier(c.Request.Header))
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "gateway", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
