Answer every request that a planned stop has read

Cause: both front ends stopped with http.Server.Shutdown. It regards a connection as idle until the next request's headers are parsed, closes it under the read, and drops a request that was read after the shutdown began. At the end of its time Close cut the requests in progress. Connections without a request stayed open for 5 s, so late requests on them were cut, too. The class of fault: a resource is closed on the evidence of a state that another goroutine has already left, instead of at a point at which nothing can be in progress.

Change: internal/httpserver decides itself which connection is closed. A connection that stops takes nothing more from its socket that would begin another request, so that a request that crosses the close is not read and its caller can tell; what has been read is answered first, also if the data had already left the socket. Answers announce the close of the connection when they begin, not when their request arrives. The gateway's two listeners stop together.

Why it works: the decision to close and the first byte of a request are ordered by the connection's lock; the deadline that interrupts the read is set under it and cannot be extended by the HTTP server.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -29,16 +30,25 @@
 	return [...]string{"waiting", "reading", "handling", "answered"}[p]
 }
 
+// readAheadSize is the size of the buffer, in bytes, into which net/http reads while a handler runs, in order to notice that the
+// caller closes the connection. All its other buffers are larger.
+const readAheadSize = 1
+
+// past is a deadline that interrupts reads in progress.
+var past = time.Unix(1, 0)
+
 // conn is one caller's connection. It records how far the current request has got.
 type conn struct {
 	net.Conn
 	server *Server
 
 	mu         sync.Mutex
+	stopping   bool // the connection is closed before it reads another request
 	phase      phase
 	request    string // the caller's ID of the request, see Identify
 	began      time.Time
 	bytes      int   // bytes read of the request
+	readAhead  int   // bytes read of the next request
 	written    bool  // part of the answer has been written
 	peerClosed bool  // the caller has closed or reset the connection
 	writeError error // the answer could not be written
@@ -46,13 +56,16 @@
 	closed     bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. Once the connection is stopping, it takes nothing from the socket that would begin another request.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isFinished() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.countRead(n)
+		c.countRead(n, len(p) == readAheadSize)
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.peerClosed = true
@@ -60,11 +73,53 @@
 	return n, err
 }
 
-func (c *conn) countRead(n int) {
+// countRead counts data of a request. ahead is true for data that net/http reads while a handler runs, which begins the next
+// request. The caller holds the lock.
+func (c *conn) countRead(n int, ahead bool) {
+	switch {
+	case c.phase == phaseWaiting:
+		c.begin(n)
+	case ahead && c.phase != phaseReading:
+		c.readAhead = n
+	default:
+		c.bytes += n
+	}
+}
+
+// begin records that the first n bytes of a request have been read. The caller holds the lock.
+func (c *conn) begin(n int) {
+	c.phase, c.began, c.bytes = phaseReading, time.Now(), n
+	if c.stopping { // the data had left the socket when the connection was stopped, so the request must be read to its end
+		_ = c.Conn.SetReadDeadline(c.began.Add(c.server.options.ReadHeaderTimeout)) // fails only on a closed socket
+	}
+}
+
+// isFinished reports whether the connection is stopping and no request is in progress.
+func (c *conn) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping && c.phase == phaseWaiting
+}
+
+// stop makes the server close the connection without reading another request. A request of which anything was read is answered
+// first. The caller of a request that is still in the socket gets a reset, which shows that it was not read.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
 	if c.phase == phaseWaiting {
-		c.phase, c.began = phaseReading, time.Now()
+		_ = c.Conn.SetReadDeadline(past) // fails only on a closed socket
 	}
-	c.bytes += n
+}
+
+// SetReadDeadline implements net.Conn. It does not let the HTTP server extend the deadline that stop has set.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping && c.phase == phaseWaiting {
+		t = past
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Write implements net.Conn.
@@ -163,4 +218,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.request, c.bytes, c.written = phaseWaiting, "", 0, false
+	if c.readAhead > 0 {
+		c.begin(c.readAhead)
+		c.readAhead = 0
+	}
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,6 +1,6 @@
 // Package httpserver is the HTTP server for callers of both kinds of instance. Unlike the server of net/http it knows of every
-// connection how far its current request has got, and reports each connection that is closed under a request without a complete
-// answer.
+// connection how far its current request has got. It can therefore stop without losing a request, and reports each connection that
+// is closed under a request without a complete answer.
 package httpserver
 
 import (
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -42,7 +44,7 @@
 // Options configures a Server.
 type Options struct {
 	Handler http.Handler
-	// ReadHeaderTimeout bounds the time to read the headers of a request.
+	// ReadHeaderTimeout bounds the time to read the headers of a request. It must be positive.
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may wait for its next request. Zero means no limit.
 	IdleTimeout time.Duration
@@ -57,10 +59,15 @@
 	options Options
 	http    *http.Server
 	open    metrics.Gauge
+	leaving atomic.Bool
+	cancel  context.CancelFunc // cancels the contexts of all requests
+	drained chan struct{}      // closed when the last connection of a stopping server has ended
 
 	mu         sync.Mutex
+	socket     net.Listener
 	conns      map[*conn]struct{}
 	stoppingAt time.Time
+	isDrained  bool
 }
 
 // connKey is the key of a connection in the context of its requests.
@@ -68,13 +75,18 @@
 
 // New returns a server. It registers its metrics in o.Registry.
 func New(o Options) *Server {
-	s := &Server{options: o, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry), conns: map[*conn]struct{}{}}
+	base, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		options: o, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry),
+		cancel: cancel, drained: make(chan struct{}), conns: map[*conn]struct{}{},
+	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: o.ReadHeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		ErrorLog:          log.New(problemWriter{o.Log}, "", 0),
 		ConnState:         connState,
+		BaseContext:       func(net.Listener) context.Context { return base },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -90,34 +102,25 @@
 }
 
 // Serve accepts connections until the server is stopped. It then returns http.ErrServerClosed.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&listener{Listener: l, server: s}) }
-
-// Shutdown closes the listener and idle connections, and waits until all requests have been answered or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error {
+func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
-	s.stoppingAt = time.Now()
+	s.socket = l
+	stopped := !s.stoppingAt.IsZero()
 	s.mu.Unlock()
-	return s.http.Shutdown(ctx)
-}
-
-// Close closes the listener and all connections.
-func (s *Server) Close() error { return s.http.Close() }
-
-// listener tracks the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
+	if stopped {
+		return errors.Join(http.ErrServerClosed, l.Close())
+	}
+	err := s.http.Serve(&listener{Listener: l, server: s})
+	if s.isStopping() {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	socket, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: socket, server: l.server}
-	l.server.track(c)
-	return c, nil
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stoppingAt.IsZero()
 }
 
 func (s *Server) track(c *conn) {
@@ -125,6 +128,9 @@
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	s.open.Update(int64(len(s.conns)))
+	if !s.stoppingAt.IsZero() { // the connection was accepted while the listener was closed
+		c.stop()
+	}
 }
 
 // forget drops a connection that is being closed. report is nil unless its request has no complete answer.
@@ -133,6 +139,7 @@
 	delete(s.conns, c)
 	s.open.Update(int64(len(s.conns)))
 	stoppingAt := s.stoppingAt
+	s.checkDrained()
 	s.mu.Unlock()
 	if report != nil {
 		s.report(c, report, stoppingAt)
@@ -164,7 +171,7 @@
 	}
 	c.handling()
 	defer s.recoverPanic(c)
-	s.options.Handler.ServeHTTP(w, r)
+	s.options.Handler.ServeHTTP(&answerWriter{ResponseWriter: w, server: s}, r)
 	c.handled()
 }
 
--- /dev/null
+++ b/internal/httpserver/stop.go
@@ -0,0 +1,128 @@
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// answerTimeout is the time in which requests that are canceled at the end of a stop write their answers.
+const answerTimeout = 250 * time.Millisecond
+
+// Leave asks callers to open no further request on their connections: from now on every answer says that its connection is closed.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Shutdown closes the listener and all connections without losing a request. A connection on which nothing of a request has been
+// read is closed at once; its caller can tell that a request that crosses the close was not read. All other requests are answered
+// first. When ctx ends, the contexts of the requests in progress are canceled, so that they are answered without their result, and
+// Shutdown returns an error. The Shutdown of net/http is not used, since it closes connections that it is reading from and drops
+// requests that it has read.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Leave()
+	err := s.stopConns()
+	select {
+	case <-s.drained:
+		return errors.Join(err, s.Close())
+	case <-ctx.Done():
+	}
+	err = errors.Join(err, errors.Wrapf(ctx.Err(), "%d requests in progress", s.busy()))
+	s.cancel()
+	select {
+	case <-s.drained:
+	case <-time.After(answerTimeout):
+	}
+	return errors.Join(err, s.Close())
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error {
+	s.cancel()
+	return ignoreClosed(s.http.Close())
+}
+
+// ignoreClosed drops the error of closing a listener again: both net/http and Shutdown close it.
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// stopConns closes the listener and stops all connections.
+func (s *Server) stopConns() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stoppingAt.IsZero() {
+		return nil
+	}
+	s.stoppingAt = time.Now()
+	for c := range s.conns {
+		c.stop()
+	}
+	s.checkDrained()
+	if s.socket == nil {
+		return nil
+	}
+	return ignoreClosed(s.socket.Close())
+}
+
+// checkDrained reports that a stopping server has no connections left. The caller holds the lock.
+func (s *Server) checkDrained() {
+	if !s.stoppingAt.IsZero() && len(s.conns) == 0 && !s.isDrained {
+		s.isDrained = true
+		close(s.drained)
+	}
+}
+
+func (s *Server) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// answerWriter adds the header that announces the close of the connection, as late as possible, to the answers of a leaving server.
+type answerWriter struct {
+	http.ResponseWriter
+	server  *Server
+	started bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if w.server.leaving.Load() && !w.started {
+		w.Header().Set("Connection", "close")
+	}
+	w.started = w.started || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	if !w.started {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (w *answerWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() } // net/http's writer can always be flushed
+
+// listener tracks the connections that it accepts.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	socket, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: socket, server: l.server}
+	l.server.track(c)
+	return c, nil
+}
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -71,6 +71,32 @@
 	require.Empty(t, s.unanswered())
 }
 
+// Guards against a stop that closes a connection of which it has read the first byte of a request while it answered another.
+func TestRequestReadAheadAsTheStopBeginsIsAnswered(t *testing.T) {
+	read, release := make(chan struct{}), make(chan struct{})
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			w.(http.Flusher).Flush() // the answer begins without an announcement of the close
+			close(read)
+			<-release
+		}
+	}, nil)
+	c := s.dial()
+	c.send("first")
+	<-read
+	c.send("second")
+	time.Sleep(50 * time.Millisecond) // net/http reads ahead
+	stopped := s.stop(5 * time.Second)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for range 2 {
+		status, err := c.receive()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.NoError(t, <-stopped)
+}
+
 // stop shuts the server down. The channel receives the result.
 func (s *site) stop(within time.Duration) chan error {
 	stopped := make(chan error, 1)
--- a/internal/service/gateway/gateway.go
+++ b/internal/service/gateway/gateway.go
@@ -162,28 +162,40 @@
 // Stop implements kernel.Service. Drain has closed the listeners.
 func (g *Gateway) Stop(context.Context) error { return nil }
 
-// Drain makes Ready return false, waits for StopDelay, closes the listeners and waits for the running requests to finish. It
-// returns an error if requests are still running after DrainTimeout or when ctx ends; their connections are then closed.
+// Drain makes Ready return false, waits for StopDelay, closes the listeners and answers the running requests. It returns an error
+// if requests are still running after DrainTimeout or when ctx ends; they are then canceled.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.stopping.Store(true)
+	listeners := g.listeners()
+	for _, l := range listeners {
+		l.server.Leave()
+	}
 	select {
 	case <-time.After(g.settings.StopDelay):
 	case <-ctx.Done():
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.settings.DrainTimeout)
 	defer cancel()
+	results := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go func() { results <- l.server.Shutdown(ctx) }()
+	}
 	var failed error
-	for _, l := range []*listener{g.open, g.internal} {
-		if l == nil {
-			continue
-		}
-		if err := l.server.Shutdown(ctx); err != nil {
-			telemetry.EventGatewayDrainTimeout.Log(g.log, zap.Error(err))
-			failed = errors.Join(failed, err, l.server.Close())
-		}
+	for range listeners {
+		failed = errors.Join(failed, <-results)
 	}
-	if failed == nil {
-		telemetry.EventGatewayDrained.Log(g.log)
+	if failed != nil {
+		telemetry.EventGatewayDrainTimeout.Log(g.log, zap.Error(failed))
+		return failed
+	}
+	telemetry.EventGatewayDrained.Log(g.log)
+	return nil
+}
+
+// listeners returns the open listeners.
+func (g *Gateway) listeners() []*listener {
+	if g.internal == nil {
+		return []*listener{g.open}
 	}
-	return failed
+	return []*listener{g.open, g.internal}
 }
