Answer a request whose handler panics

Cause: the recovery of net/http can only close the connection.

Change: the callers' HTTP server logs the panic as event 2302 with the caller's request ID and, if the answer has not begun, answers 500 and closes the connection after it.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -170,25 +170,32 @@
 		panic("request without a tracked connection")
 	}
 	c.handling()
-	defer s.recoverPanic(c)
-	s.options.Handler.ServeHTTP(&answerWriter{ResponseWriter: w, server: s}, r)
+	answer := &answerWriter{ResponseWriter: w, server: s}
+	defer s.recoverPanic(c, answer)
+	s.options.Handler.ServeHTTP(answer, r)
 	c.handled()
 }
 
-// recoverPanic logs a panic of a handler, after which net/http closes the connection. Handlers panic with http.ErrAbortHandler to
-// truncate an answer.
-func (s *Server) recoverPanic(c *conn) {
+// recoverPanic logs a panic of a handler and answers with status 500, unless the answer has begun: net/http then closes the
+// connection. Handlers panic with http.ErrAbortHandler to truncate an answer.
+func (s *Server) recoverPanic(c *conn, answer *answerWriter) {
 	cause := recover()
 	switch cause {
 	case nil:
 		return
 	case http.ErrAbortHandler:
 		c.abort(CauseAborted)
-	default:
-		request := c.abort(CausePanic)
-		telemetry.EventHandlerPanicked.Log(s.options.Log, zap.String("request", request), zap.Any("panic", cause), zap.Stack("stack"))
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
+	request := c.abort(CausePanic)
+	telemetry.EventHandlerPanicked.Log(s.options.Log, zap.String("request", request), zap.Any("panic", cause), zap.Stack("stack"))
+	if answer.started {
+		panic(http.ErrAbortHandler)
+	}
+	clear(answer.Header())
+	answer.Header().Set("Connection", "close")
+	answer.WriteHeader(http.StatusInternalServerError)
+	c.handled()
 }
 
 // connState follows the states of a connection.
