Finish the planned stop when SIGTERM is repeated

Symptom: a second SIGTERM during a planned stop ended the process at once; the callers of all requests in flight lost their connections without an answer.

Cause: signalContext restored the default actions after the first signal, which was meant for an operator who presses Ctrl-C twice, and did so for SIGTERM as well.

Change: cmd/pollenpier/signals.go receives the signals of the commands that serve requests (platform, serve, demo, standin) from their first statement until the process exits, and never restores a default action. A SIGTERM during the stop is logged as event 1006 and has no other effect, so that the stop ends only by its own steps and limits.

--- a/cmd/pollenpier/demo.go
+++ b/cmd/pollenpier/demo.go
@@ -48,13 +48,13 @@
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
+	signals := receiveSignals()
 	log, err := telemetry.NewLogger(c.LogLevel)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	ctx, stop := signalContext()
-	defer stop()
+	ctx := signals.stopContext(log)
 	deployment := &demoDeployment{}
 	err = deployment.start(ctx, c.Listen, log)
 	if err == nil {
--- a/cmd/pollenpier/main.go
+++ b/cmd/pollenpier/main.go
@@ -2,12 +2,9 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/gin-gonic/gin"
 	"github.com/jessevdk/go-flags"
@@ -57,10 +54,3 @@
 		return exitFailed
 	}
 }
-
-// signalContext returns a context that ends at the first SIGINT or SIGTERM. A second signal terminates the process at once.
-func signalContext() (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop)
-	return ctx, stop
-}
--- a/cmd/pollenpier/platform.go
+++ b/cmd/pollenpier/platform.go
@@ -26,6 +26,7 @@
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
+	signals := receiveSignals()
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errors.Errorf("environment variable %s must name the settings file", platform.SettingsVariable)
@@ -47,7 +48,5 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signalContext()
-	defer stop()
-	return process.Run(ctx, s.Node)
+	return process.Run(signals.stopContext(log), s.Node)
 }
--- a/cmd/pollenpier/serve.go
+++ b/cmd/pollenpier/serve.go
@@ -25,6 +25,7 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
+	signals := receiveSignals()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -34,13 +35,11 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	ctx, stop := signalContext()
-	defer stop()
 	if s.Trace {
 		end := telemetry.StartTracing(log)
 		defer func() { _ = end(context.Background()) }()
 	}
-	return serve(ctx, s, log)
+	return serve(signals.stopContext(log), s, log)
 }
 
 // serve runs an instance until ctx ends and then performs a planned stop.
--- a/cmd/pollenpier/standin.go
+++ b/cmd/pollenpier/standin.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/pollenpier/pollenpier/internal/standin/backend"
 	"github.com/pollenpier/pollenpier/internal/standin/platform"
 )
@@ -25,13 +27,14 @@
 
 // Execute implements flags.Commander.
 func (c *standinPlatform) Execute([]string) error {
+	signals := receiveSignals()
 	server, err := platform.Start(c.Listen, platform.Options{
 		KeepCount: c.KeepCount, KeepAge: c.KeepAge, ListLag: c.ListLag, ListExpiry: c.ListExpiry,
 	})
 	if err != nil {
 		return err
 	}
-	return runStandin("platform", server)
+	return runStandin("platform", server, signals)
 }
 
 // standinBackend runs a simulated backend.
@@ -49,6 +52,7 @@
 
 // Execute implements flags.Commander.
 func (c *standinBackend) Execute([]string) error {
+	signals := receiveSignals()
 	server, err := backend.Start(c.Listen, backend.Options{
 		Slots: c.Slots, Queue: c.Queue, ChecksTokens: c.ChecksTokens, Work: c.Work, ColdWork: c.ColdWork,
 		WarmAfter: c.WarmAfter, ColdLimit: c.ColdLimit, ReportLag: c.ReportLag,
@@ -56,18 +60,16 @@
 	if err != nil {
 		return err
 	}
-	return runStandin("backend", server)
+	return runStandin("backend", server, signals)
 }
 
 // runStandin prints the address of a simulated server and runs it until SIGINT or SIGTERM.
 func runStandin(kind string, server interface {
 	Address() string
 	Close() error
-},
+}, signals *signals,
 ) error {
-	ctx, stop := signalContext()
-	defer stop()
 	fmt.Printf("simulated %s listening on %s\n", kind, server.Address())
-	<-ctx.Done()
+	<-signals.stopContext(zap.NewNop()).Done() // a simulated server has no log
 	return server.Close()
 }
--- /dev/null
+++ b/internal/e2e/signals_test.go
@@ -0,0 +1,73 @@
+package e2e
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/standin/backend"
+)
+
+// longRequest is the time for which a request is in flight while signals are sent.
+const longRequest = 1500 * time.Millisecond
+
+// Guards against an instance that exits at a repeated SIGTERM during its planned stop and aborts the requests in flight.
+func TestRepeatedTerminationAbortsNoRequest(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
+	i := s.addInstance("a")
+	s.waitServed(manyKeys(4))
+	long := s.startLong(i)
+	for range 3 {
+		_ = i.cmd.Process.Signal(syscall.SIGTERM) // fails when the process has exited, which the answer shows
+		time.Sleep(longRequest / 8)
+	}
+	r := <-long
+	require.Equal(t, "answered", r.outcome, "%+v", r)
+	s.requireCleanExit(i.process)
+}
+
+// Guards against an operator who cannot end a process at a terminal, because a second SIGINT is ignored like a second SIGTERM.
+func TestSecondInterruptEndsTheInstance(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
+	i := s.addInstance("a")
+	s.waitServed(manyKeys(4))
+	long := s.startLong(i)
+	require.NoError(t, i.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, i.cmd.Process.Signal(os.Interrupt))
+	s.eventually(func() bool { return strings.Contains(i.log.String(), "instance stopping") }, "the instance does not stop")
+	time.Sleep(longRequest / 8)
+	require.NoError(t, i.cmd.Process.Signal(os.Interrupt))
+	r := <-long
+	require.Error(t, r.err, "the process waited for its requests: %+v", r)
+	<-i.exited
+	require.Equal(t, 130, i.cmd.ProcessState.ExitCode())
+}
+
+// startLong sends a request that is in flight for longRequest and waits until a backend runs it. The result arrives at the
+// returned channel.
+func (s *site) startLong(i *instance) <-chan result {
+	s.t.Helper()
+	s.setFaults("a1", backend.Faults{LatencyMs: int(longRequest.Milliseconds())})
+	long := make(chan result, 1)
+	go func() { long <- bookNew(i.callers, "key-0", "long") }()
+	s.eventually(func() bool {
+		list := s.executions("a1")
+		return list[len(list)-1].IdempotencyKey == "long"
+	}, "the long request did not start")
+	return long
+}
+
+// requireCleanExit waits until a process has exited and fails the test if a signal ended it or its exit code is not 0.
+func (s *site) requireCleanExit(p *process) {
+	s.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(waitTimeout):
+		require.Fail(s.t, "the process did not exit")
+	}
+	require.True(s.t, p.cmd.ProcessState.Success(), "the process ended with: %s", p.cmd.ProcessState)
+}
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -143,6 +143,14 @@
 
 // addInstance starts an instance in a zone and waits until its admin port accepts connections.
 func (s *site) addInstance(zone string) *instance {
+	s.t.Helper()
+	i, path := s.newInstance(zone)
+	i.process = s.start(i.admin, "serve", "--settings", path)
+	return i
+}
+
+// newInstance adds an instance in a zone and writes its settings, whose path it returns. It starts no process.
+func (s *site) newInstance(zone string) (*instance, string) {
 	s.t.Helper()
 	i := &instance{zone: zone, callers: freeAddress(s.t), admin: freeAddress(s.t)}
 	peer := freeAddress(s.t)
@@ -151,13 +159,20 @@
 		zone, i.callers, freeAddress(s.t), peer, i.admin, s.platform)
 	path := filepath.Join(s.t.TempDir(), "instance.yaml")
 	require.NoError(s.t, os.WriteFile(path, []byte(settings), 0o600))
-	i.process = s.start(i.admin, "serve", "--settings", path)
 	s.instances = append(s.instances, i)
-	return i
+	return i, path
 }
 
 // start runs the program and waits until it listens on the address.
 func (s *site) start(address string, args ...string) *process {
+	s.t.Helper()
+	p := s.run(address, args...)
+	s.waitListening(p)
+	return p
+}
+
+// run runs the program and does not wait.
+func (s *site) run(address string, args ...string) *process {
 	s.t.Helper()
 	p := &process{cmd: exec.Command(binary, args...), address: address, log: &lockedBuffer{}, exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -172,14 +187,19 @@
 			s.t.Logf("output of %v:\n%s", args, tail(p.log.String()))
 		}
 	})
+	return p
+}
+
+// waitListening waits until a process listens on its address.
+func (s *site) waitListening(p *process) {
+	s.t.Helper()
 	s.eventually(func() bool {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
+		conn, err := net.DialTimeout("tcp", p.address, time.Second)
 		if err != nil {
 			return false
 		}
 		return conn.Close() == nil
-	}, "process %v did not start to listen", args)
-	return p
+	}, "process %v did not start to listen", p.cmd.Args)
 }
 
 // kill terminates the process immediately and waits until it has exited.
