Let SIGHUP end no process

Symptom: a SIGHUP that arrived before the service reload had started, or after it had stopped, ended `pollenpier platform` (exit status 129 in a shell); `pollenpier serve` was ended by every SIGHUP, with its requests in flight.

Cause: the service reload registered the signal itself and restored the default action when it stopped. Nothing else received SIGHUP.

Evidence: the new tests send SIGHUP every 200 microseconds to the built program, from the moment at which it has opened its settings file (a named pipe, in which the settings come later) or from readiness, until it has exited.

Change: cmd/pollenpier/signals.go receives SIGHUP from the first statement of the command until the exit. It passes a buffered channel to the service reload, which reads the settings when it starts if a signal came earlier; after the service has stopped, signals stay in the channel. serve, which reads its settings only at the start, logs event 1008. demo and standin run at a terminal and make a planned stop, because SIGHUP tells them that the terminal was closed.

Not covered: about 7 ms (inittrace on this machine) between exec and main, while packages are initialised.

--- a/cmd/pollenpier/demo.go
+++ b/cmd/pollenpier/demo.go
@@ -48,7 +48,7 @@
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
-	signals := receiveSignals()
+	signals := receiveTerminalSignals()
 	log, err := telemetry.NewLogger(c.LogLevel)
 	if err != nil {
 		return err
--- a/cmd/pollenpier/platform.go
+++ b/cmd/pollenpier/platform.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	process, err := platform.NewProcess(s, nil, log)
+	process, err := platform.NewProcess(s, nil, signals.hangups, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/pollenpier/serve.go
+++ b/cmd/pollenpier/serve.go
@@ -35,6 +35,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	signals.ignoreHangups(log)
 	if s.Trace {
 		end := telemetry.StartTracing(log)
 		defer func() { _ = end(context.Background()) }()
--- a/cmd/pollenpier/signals.go
+++ b/cmd/pollenpier/signals.go
@@ -18,18 +18,39 @@
 // process together with its requests in flight. Of signals that arrive before the previous one of their kind was handled, one
 // is kept.
 type signals struct {
-	terminations chan os.Signal // SIGTERM
+	terminations chan os.Signal // SIGTERM; also SIGHUP, see receiveTerminalSignals
 	interrupts   chan os.Signal // SIGINT
+	hangups      chan os.Signal // SIGHUP
 }
 
 // receiveSignals begins to receive the signals of this process. A command that serves requests calls it before anything else.
 func receiveSignals() *signals {
-	s := &signals{terminations: make(chan os.Signal, 1), interrupts: make(chan os.Signal, 1)}
+	s := &signals{
+		terminations: make(chan os.Signal, 1), interrupts: make(chan os.Signal, 1), hangups: make(chan os.Signal, 1),
+	}
 	signal.Notify(s.terminations, syscall.SIGTERM)
 	signal.Notify(s.interrupts, os.Interrupt)
+	signal.Notify(s.hangups, syscall.SIGHUP)
+	return s
+}
+
+// receiveTerminalSignals is receiveSignals for commands that run at a terminal: SIGHUP, which reports that the terminal was
+// closed, stops them like SIGTERM.
+func receiveTerminalSignals() *signals {
+	s := receiveSignals()
+	signal.Notify(s.terminations, syscall.SIGHUP)
 	return s
 }
 
+// ignoreHangups logs each SIGHUP. Commands that read their settings only at the start call it.
+func (s *signals) ignoreHangups(log *zap.Logger) {
+	go func() {
+		for range s.hangups {
+			telemetry.EventHangupIgnored.Log(log)
+		}
+	}()
+}
+
 // stopContext returns a context that ends at the first SIGTERM or SIGINT. A SIGTERM during the stop has no effect. A second
 // SIGINT, with which an operator at a terminal gives up waiting, terminates the process at once.
 func (s *signals) stopContext(log *zap.Logger) context.Context {
--- a/cmd/pollenpier/standin.go
+++ b/cmd/pollenpier/standin.go
@@ -27,7 +27,7 @@
 
 // Execute implements flags.Commander.
 func (c *standinPlatform) Execute([]string) error {
-	signals := receiveSignals()
+	signals := receiveTerminalSignals()
 	server, err := platform.Start(c.Listen, platform.Options{
 		KeepCount: c.KeepCount, KeepAge: c.KeepAge, ListLag: c.ListLag, ListExpiry: c.ListExpiry,
 	})
@@ -52,7 +52,7 @@
 
 // Execute implements flags.Commander.
 func (c *standinBackend) Execute([]string) error {
-	signals := receiveSignals()
+	signals := receiveTerminalSignals()
 	server, err := backend.Start(c.Listen, backend.Options{
 		Slots: c.Slots, Queue: c.Queue, ChecksTokens: c.ChecksTokens, Work: c.Work, ColdWork: c.ColdWork,
 		WarmAfter: c.WarmAfter, ColdLimit: c.ColdLimit, ReportLag: c.ReportLag,
@@ -63,7 +63,7 @@
 	return runStandin("backend", server, signals)
 }
 
-// runStandin prints the address of a simulated server and runs it until SIGINT or SIGTERM.
+// runStandin prints the address of a simulated server and runs it until SIGINT, SIGTERM or SIGHUP.
 func runStandin(kind string, server interface {
 	Address() string
 	Close() error
--- a/internal/e2e/signals_test.go
+++ b/internal/e2e/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +16,9 @@
 // longRequest is the time for which a request is in flight while signals are sent.
 const longRequest = 1500 * time.Millisecond
 
+// hangupInterval is short, so that a signal arrives in each step of the start and of the stop.
+const hangupInterval = 200 * time.Microsecond
+
 // Guards against an instance that exits at a repeated SIGTERM during its planned stop and aborts the requests in flight.
 func TestRepeatedTerminationAbortsNoRequest(t *testing.T) {
 	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
@@ -47,6 +51,42 @@
 	require.Equal(t, 130, i.cmd.ProcessState.ExitCode())
 }
 
+// Guards against an instance that is ended by SIGHUP while it reads its settings, starts, serves or stops.
+func TestHangupEndsNoInstance(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
+	i, path := s.newInstance("a")
+	settings, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	i.process = s.run(i.admin, "serve", "--settings", path)
+	var pipe *os.File
+	s.eventually(func() bool { // fails with ENXIO until the process has opened the file
+		pipe, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil
+	}, "the process did not open its settings")
+	stop := i.sendHangups()
+	defer stop()
+	time.Sleep(100 * time.Millisecond) // the process waits for its settings
+	_, err = pipe.Write(settings)
+	require.NoError(t, err, "SIGHUP ended the process")
+	require.NoError(t, pipe.Close())
+	s.waitListening(i.process)
+	s.waitServed(manyKeys(4))
+	long := s.startLong(i)
+	require.NoError(t, i.cmd.Process.Signal(syscall.SIGTERM))
+	r := <-long
+	require.Equal(t, "answered", r.outcome, "%+v", r)
+	s.requireCleanExit(i.process)
+}
+
+// Guards against a simulated server that is killed when its terminal is closed, instead of stopping.
+func TestHangupStopsASimulatedServer(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
+	require.NoError(t, s.backends["a1"].cmd.Process.Signal(syscall.SIGHUP))
+	s.requireCleanExit(s.backends["a1"])
+}
+
 // startLong sends a request that is in flight for longRequest and waits until a backend runs it. The result arrives at the
 // returned channel.
 func (s *site) startLong(i *instance) <-chan result {
@@ -61,6 +101,28 @@
 	return long
 }
 
+// sendHangups sends SIGHUP to the process every hangupInterval until the returned function is called.
+func (p *process) sendHangups() (stop func()) {
+	done := make(chan struct{})
+	var sender sync.WaitGroup
+	sender.Go(func() {
+		ticker := time.NewTicker(hangupInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				_ = p.cmd.Process.Signal(syscall.SIGHUP) // fails when the process has exited
+			}
+		}
+	})
+	return func() {
+		close(done)
+		sender.Wait()
+	}
+}
+
 // requireCleanExit waits until a process has exited and fails the test if a signal ended it or its exit code is not 0.
 func (s *site) requireCleanExit(p *process) {
 	s.t.Helper()
--- a/internal/telemetry/catalogue_process.go
+++ b/internal/telemetry/catalogue_process.go
@@ -12,5 +12,6 @@
 	EventStartFailed        = define(1005, zapcore.ErrorLevel, "instance failed to start")
 	EventTerminationIgnored = define(1006, zapcore.InfoLevel, "SIGTERM during the planned stop has no effect")
 	EventInterrupted        = define(1007, zapcore.WarnLevel, "second SIGINT, process exits at once")
+	EventHangupIgnored      = define(1008, zapcore.InfoLevel, "SIGHUP has no effect, settings are read at the start only")
 	EventSpan               = define(1010, zapcore.InfoLevel, "span ended")
 )
