--- a/cmd/pollenpier/platform.go
+++ b/cmd/pollenpier/platform.go
@@ -26,6 +26,7 @@
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
+	signals := receiveSignals()
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errors.Errorf("environment variable %s must name the settings file", platform.SettingsVariable)
@@ -43,11 +44,9 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	process, err := platform.NewProcess(s, nil, log)
+	process, err := platform.NewProcess(s, nil, signals.hangups, log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signalContext()
-	defer stop()
-	return process.Run(ctx, s.Node)
+	return process.Run(signals.stopContext(log), s.Node)
 }
