--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
+	"github.com/pollenpier/pollenpier/internal/httpheader"
 )
 
 // headerPrefix is the prefix of the protocol's own headers, which are not forwarded to callers.
@@ -65,7 +66,7 @@
 
 func answerHeader(h http.Header) http.Header {
 	h = h.Clone()
-	removeHopByHop(h)
+	httpheader.DropHopByHop(h)
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
 			delete(h, name)
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -15,15 +15,9 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
+	"github.com/pollenpier/pollenpier/internal/httpheader"
 )
 
-// hopByHopHeaders apply to one connection only and are not forwarded (RFC 9110, section 7.6.1). This router itself
-// answers Expect.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // replayHeaders make net/http retry a request of any method on another connection.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
@@ -72,7 +66,8 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	removeHopByHop(h)
+	httpheader.DropHopByHop(h)
+	h.Del("Expect") // this router answers it
 	if !hasHeader(h, "User-Agent") {
 		h["User-Agent"] = nil // prevents net/http from adding its own value
 	}
@@ -86,18 +81,6 @@
 	return h
 }
 
-// removeHopByHop removes the hop-by-hop headers, including those that the Connection header names.
-func removeHopByHop(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
-
 func hasHeader(h http.Header, name string) bool {
 	_, ok := h[name]
 	return ok
--- a/internal/service/gateway/headers.go
+++ b/internal/service/gateway/headers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/httpheader"
 )
 
 // Headers of the callers' protocol, described in docs/protocols.md.
@@ -45,12 +47,6 @@
 // maxKeyLength bounds routed and idempotency keys, in bytes.
 const maxKeyLength = 1024
 
-// hopByHopHeaders are the headers that apply to one connection and are not forwarded (RFC 9110, section 7.6.1).
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // forwardHeaders returns the headers that are forwarded to the backend: without hop-by-hop headers, without pollenpier's own,
 // and without any header that contains the customer's key.
 func forwardHeaders(h http.Header, customerKey string) http.Header {
@@ -61,7 +57,7 @@
 		}
 		out[name] = values
 	}
-	dropHopByHopHeaders(out)
+	httpheader.DropHopByHop(out)
 	return out
 }
 
@@ -73,22 +69,10 @@
 			out[name] = values
 		}
 	}
-	dropHopByHopHeaders(out)
+	httpheader.DropHopByHop(out)
 	return out
 }
 
-// dropHopByHopHeaders removes the standard hop-by-hop headers and those that the Connection header lists.
-func dropHopByHopHeaders(h http.Header) {
-	for _, value := range h.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
-
 // containsKey reports whether any value contains the customer's key. It returns false for an empty key.
 func containsKey(values []string, key string) bool {
 	if key == "" {
