Apply the start timeout of store-based instances

Symptom: a service that hangs in Start made the whole process hang without a line in the log; the limit of 10 s had no effect.

Cause: the limit was given to fx.StartTimeout, which fx applies only in App.Run. The process calls App.Start with its own context, which has no deadline.

Change: StoreInstance.Start limits its context itself.

--- a/internal/app/store_instance.go
+++ b/internal/app/store_instance.go
@@ -30,7 +30,6 @@
 	i := &StoreInstance{}
 	i.app = fx.New(
 		fx.NopLogger,
-		fx.StartTimeout(startTimeout),
 		fx.Supply(instance, log),
 		fx.Provide(
 			func() kernel.Clock { return kernel.NewBootClock() },
@@ -48,8 +47,12 @@
 	return i, i.app.Err()
 }
 
-// Start starts all services. It returns an error if a service fails to start or ctx ends first.
-func (i *StoreInstance) Start(ctx context.Context) error { return i.app.Start(ctx) }
+// Start starts all services. It returns an error if a service fails to start, or ctx or startTimeout ends first.
+func (i *StoreInstance) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return i.app.Start(ctx)
+}
 
 // Stop drains and then stops all services. It returns the errors of the services.
 func (i *StoreInstance) Stop(ctx context.Context) error { return i.app.Stop(ctx) }
