Release resources when a start fails before any service runs

Symptom: after a service failed in Provision or Validate, the connections that other services had opened their clients for stayed open until the process exited.

Cause: Kernel.Start called Cleanup only through Stop, which it calls when Start of a service fails.

Evidence: the new test has a service that fails in either step, and failed before: TestFailedStartReleasesResources: expected [clean up b, clean up a], actual []

Change: a failure in either step ends the kernel's context and calls Cleanup of all services in reverse order. Callers were not affected: no request is served at that time. In demo and in tests, which run several instances in one process, the resources of the failed one are now released.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -45,7 +45,8 @@
 	Validate() error
 }
 
-// Cleaner is a service that releases resources after all services have stopped.
+// Cleaner is a service that releases resources after all services have stopped. The kernel also calls Cleanup if a service fails
+// in Provision or Validate, even on services that it has not provisioned.
 type Cleaner interface {
 	Cleanup()
 }
@@ -127,8 +128,27 @@
 	return k, nil
 }
 
-// Start provisions, validates and starts all services. If a service fails to start, it stops those already started.
+// Start provisions, validates and starts all services. If a service fails, it stops those already started and releases the
+// resources of all.
 func (k *Kernel) Start(ctx context.Context) error {
+	if err := k.prepare(); err != nil {
+		k.cancel()
+		k.cleanUp()
+		return err
+	}
+	go k.run()
+	for _, s := range k.order {
+		if err := s.Start(ctx); err != nil {
+			err = errors.Wrapf(err, "start service %q", s.Name())
+			return errors.Join(err, k.Stop(ctx))
+		}
+		k.started = append(k.started, s)
+	}
+	return nil
+}
+
+// prepare provisions and validates all services.
+func (k *Kernel) prepare() error {
 	for _, s := range k.order {
 		if err := s.Provision(&Resolver{kernel: k, service: s}); err != nil {
 			return errors.Wrapf(err, "provision service %q", s.Name())
@@ -143,14 +163,6 @@
 			return errors.Wrapf(err, "validate service %q", s.Name())
 		}
 	}
-	go k.run()
-	for _, s := range k.order {
-		if err := s.Start(ctx); err != nil {
-			err = errors.Wrapf(err, "start service %q", s.Name())
-			return errors.Join(err, k.Stop(ctx))
-		}
-		k.started = append(k.started, s)
-	}
 	return nil
 }
 
@@ -168,12 +180,17 @@
 	k.cancel()
 	<-k.loopDone
 	k.workers.Wait()
+	k.cleanUp()
+	return failed
+}
+
+// cleanUp releases the resources of all services in reverse order.
+func (k *Kernel) cleanUp() {
 	for i := len(k.order) - 1; i >= 0; i-- {
 		if c, ok := k.order[i].(Cleaner); ok {
 			c.Cleanup()
 		}
 	}
-	return failed
 }
 
 // drain drains the started services in reverse order.
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -162,3 +163,36 @@
 	close(block)
 	require.NoError(t, k.Stop(context.Background()))
 }
+
+// failing is a service that fails in the named step and records its Cleanup.
+type failing struct {
+	recorder
+
+	failsIn string
+}
+
+func (f *failing) Provision(*kernel.Resolver) error { return f.errorIn("provision") }
+func (f *failing) Validate() error                  { return f.errorIn("validate") }
+func (f *failing) Cleanup()                         { *f.trace = append(*f.trace, "clean up "+string(f.name)) }
+
+func (f *failing) errorIn(step string) error {
+	if f.failsIn == step {
+		return errors.New(step)
+	}
+	return nil
+}
+
+// Guards against resources that services acquired before a failed start and that are never released.
+func TestFailedStartReleasesResources(t *testing.T) {
+	for _, step := range []string{"provision", "validate"} {
+		t.Run(step, func(t *testing.T) {
+			var trace []string
+			a := &failing{recorder: recorder{name: "a", trace: &trace}}
+			b := &failing{recorder: recorder{name: "b", needs: []kernel.Name{"a"}, trace: &trace}, failsIn: step}
+			k, err := kernel.New(kernel.NewSystemClock(), []kernel.Service{a, b})
+			require.NoError(t, err)
+			require.ErrorContains(t, k.Start(context.Background()), step)
+			require.Equal(t, []string{"clean up b", "clean up a"}, trace)
+		})
+	}
+}
