Refuse a request as over the rate only if a token server serves

Seen by callers: 429 rate-limited for a customer far below its rate. Change: an instance records from its own calls since when its token server grants tokens, or since when it reaches none (decide/admission, Availability). Only time in which a server grants tokens counts towards the wait of 1 s. Requests wait for the end of an outage until it has lasted for 3 s; from then on they are refused at once, as unreachable (503), and each asks for the token server again. No request waits for longer than 4 s. The buckets and the batches are unchanged, so no rate changes.

--- a/internal/service/admission/admission.go
+++ b/internal/service/admission/admission.go
@@ -22,7 +22,7 @@
 // shard is the customer shard. There is only one so far.
 const shard uint32 = 0
 
-// Service is the service named admission. The fields below table belong to the control goroutine.
+// Service is the service named admission. The fields below availability belong to the control goroutine.
 type Service struct {
 	self     service.Self
 	settings Settings
@@ -32,7 +32,8 @@
 	leaser   service.TokenLeaser
 	leases   service.LeaseSource
 
-	table kernel.Snapshot[accounts]
+	table        kernel.Snapshot[accounts]
+	availability kernel.Snapshot[admission.Availability]
 
 	config *operator.Config
 	view   *ownership.View
@@ -56,25 +57,28 @@
 	retryAt time.Duration
 }
 
-type counters struct{ refused, requests, failures, granted metrics.Counter }
+type counters struct{ refused, unavailable, requests, failures, granted metrics.Counter }
 
 // New returns the service. Settings that are zero get their defaults.
 func New(self service.Self, settings Settings, logger *zap.Logger, registry metrics.Registry) *Service {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("admission."+name, registry) }
-	return &Service{
+	s := &Service{
 		self:     self,
 		settings: settings.withDefaults(),
 		logger:   logger,
 		counters: counters{
-			refused:  counter("refused"),
-			requests: counter("token.requests"),
-			failures: counter("token.requests.failed"),
-			granted:  counter("tokens.granted"),
+			refused:     counter("refused"),
+			unavailable: counter("refused.unavailable"),
+			requests:    counter("token.requests"),
+			failures:    counter("token.requests.failed"),
+			granted:     counter("tokens.granted"),
 		},
 		client:        admission.NewClient(self.ID, shard, 0),
 		demand:        map[entity.CustomerID]*demand{},
 		pendingDemand: map[entity.CustomerID]*demand{},
 	}
+	s.availability.Publish(&admission.Availability{})
+	return s
 }
 
 // Name returns the name in the kernel's registry.
--- a/internal/service/admission/admit.go
+++ b/internal/service/admission/admit.go
@@ -11,9 +11,17 @@
 	"github.com/pollenpier/pollenpier/internal/service"
 )
 
-// minRetryAfter is the shortest time after which a refused caller is told to retry. It keeps refusals from causing a
-// flood of retries.
-const minRetryAfter = 10 * time.Millisecond
+const (
+	// minRetryAfter is the shortest time after which a refused caller is told to retry. It keeps refusals from causing a
+	// flood of retries.
+	minRetryAfter = 10 * time.Millisecond
+	// outageRetryAfter is the time after which a caller is told to retry if no token server can be reached. A lost token
+	// server is replaced in about 0.7 s.
+	outageRetryAfter = 500 * time.Millisecond
+)
+
+// overRate is the detail of a refusal after a wait for a token.
+const overRate = "the customer is over its rate"
 
 // account is the state of a customer that traffic goroutines use.
 type account struct {
@@ -46,7 +54,8 @@
 var admittedResult = service.AdmitResult{Outcome: entity.Answered()}
 
 // Admit decides whether a customer may send one more request now. It takes a token from the customer's pool, or waits
-// for one in the customer's own queue until the context ends, at most MaxWait. Traffic goroutines call it.
+// for one in the customer's own queue until the context ends, at most MaxWait, and MaxOutage more if the token server is
+// lost meanwhile. Traffic goroutines call it.
 func (s *Service) Admit(ctx context.Context, customer entity.CustomerID) service.AdmitResult {
 	table := s.table.Load()
 	if table == nil {
@@ -71,29 +80,71 @@
 	if a.limits.Burst < 1 || a.limits.Rate <= 0 {
 		return s.refused(a, "the customer has no burst in this zone")
 	}
+	arrived := s.kernel.Now()
+	remaining := s.remaining(arrived)
+	if remaining <= 0 {
+		// The next call may find a token server again.
+		s.kernel.Post(service.Admission, a.low)
+		return s.refusedWithoutToken(a, arrived, overRate)
+	}
 	// More requests than this cannot be admitted within MaxWait.
 	capacity := float64(a.limits.Burst) + a.limits.Rate*s.settings.MaxWait.Seconds()
 	if a.queued.Add(1) > int64(min(capacity+1, float64(s.settings.MaxQueue))) {
 		a.queued.Add(-1)
-		return s.refused(a, "too many requests of the customer wait")
+		return s.refusedWithoutToken(a, arrived, "too many requests of the customer wait")
 	}
 	defer a.queued.Add(-1)
 	w := &waiter{customer: customer, admitted: make(chan struct{}, 1)}
 	if !s.kernel.Post(service.Admission, w) {
 		return s.refused(a, "the instance is overloaded")
 	}
-	timer := time.NewTimer(s.settings.MaxWait)
-	defer timer.Stop()
-	select {
-	case <-w.admitted:
+	if s.awaitToken(ctx, w, arrived, remaining) {
 		return admittedResult
-	case <-timer.C:
-	case <-ctx.Done():
 	}
-	if !w.state.CompareAndSwap(waiterPending, waiterCanceled) {
-		return admittedResult // admitted at the same moment; the token is spent
+	return s.refusedWithoutToken(a, arrived, overRate)
+}
+
+// awaitToken waits until the waiter is admitted. It returns false if the waiter is canceled, since the request has waited
+// for as long as it may.
+func (s *Service) awaitToken(ctx context.Context, w *waiter, arrived, remaining time.Duration) bool {
+	timer := time.NewTimer(remaining)
+	defer timer.Stop()
+	for remaining > 0 {
+		// The token server may be lost or replaced during the wait, which changes the bound.
+		timer.Reset(min(remaining, s.settings.MaxWait))
+		select {
+		case <-w.admitted:
+			return true
+		case <-ctx.Done():
+			remaining = 0
+		case <-timer.C:
+			remaining = s.remaining(arrived)
+		}
+	}
+	// If this fails, the waiter was admitted at the same moment, and the token is spent.
+	return !w.state.CompareAndSwap(waiterPending, waiterCanceled)
+}
+
+// remaining returns how much longer a request that arrived at the given time may wait for a token.
+func (s *Service) remaining(arrived time.Duration) time.Duration {
+	return s.waitLimits().Remaining(s.kernel.Now(), arrived, *s.availability.Load())
+}
+
+func (s *Service) waitLimits() admission.WaitLimits {
+	return admission.WaitLimits{Rate: s.settings.MaxWait, Outage: s.settings.MaxOutage}
+}
+
+// refusedWithoutToken refuses a request that arrived at the given time and got no token. The detail applies if the customer
+// is over its rate.
+func (s *Service) refusedWithoutToken(a *account, arrived time.Duration, detail string) service.AdmitResult {
+	if s.waitLimits().OverRate(s.kernel.Now(), arrived, *s.availability.Load()) {
+		return s.refused(a, detail)
+	}
+	s.counters.unavailable.Inc(1)
+	return service.AdmitResult{
+		Outcome: entity.NotRun(entity.ReasonUnreachable, "no token server of the zone can be reached"),
+		Wait:    outageRetryAfter,
 	}
-	return s.refused(a, "the customer is over its rate")
 }
 
 // refused counts and returns a refusal. Its wait is the time after which a token can be expected, given that the
--- a/internal/service/admission/calls.go
+++ b/internal/service/admission/calls.go
@@ -25,7 +25,6 @@
 	unknownServerCalls int
 	// pausedUntil is the time before which no call is made, after a failed one.
 	pausedUntil time.Duration
-	failing     bool
 	// wakeAt is the time of the pending wake message, zero if there is none.
 	wakeAt time.Duration
 }
@@ -33,6 +32,7 @@
 type (
 	wake     struct{}
 	callDone struct {
+		server   string // address
 		sequence uint64
 		response service.TokenResponse
 		err      error
@@ -61,7 +61,7 @@
 	s.updateRole(now)
 	if s.server != nil {
 		r := s.client.Request(now, needed)
-		s.finishCall(turn, callDone{sequence: r.Sequence, response: s.answer(now, r)})
+		s.finishCall(turn, callDone{server: s.self.Address, sequence: r.Sequence, response: s.answer(now, r)})
 		return
 	}
 	address, ok := s.serverAddress()
@@ -75,7 +75,7 @@
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		response, err := leaser.LeaseTokens(ctx, address, r)
-		return callDone{sequence: r.Sequence, response: response, err: err}
+		return callDone{server: address, sequence: r.Sequence, response: response, err: err}
 	})
 }
 
@@ -146,10 +146,7 @@
 		s.callFailed(turn, m.err)
 		return
 	}
-	if s.calls.failing {
-		s.calls.failing = false
-		telemetry.EventTokenServerReachable.Log(s.logger)
-	}
+	s.callAnswered(now, m.server)
 	batches := s.client.HandleResponse(now, m.sequence, m.response)
 	for _, g := range m.response.Grants {
 		d, ok := s.demand[g.Customer]
@@ -167,13 +164,25 @@
 	}
 }
 
-// callFailed pauses before the next attempt.
+// callAnswered records that the token server answered.
+func (s *Service) callAnswered(now time.Duration, server string) {
+	before := s.availability.Load()
+	if before.Lost() {
+		telemetry.EventTokenServerReachable.Log(s.logger)
+	}
+	after := before.Answered(now, server)
+	s.availability.Publish(&after)
+}
+
+// callFailed records that no token server was reached and pauses before the next attempt.
 func (s *Service) callFailed(turn *kernel.Turn, err error) {
 	s.counters.failures.Inc(1)
-	if !s.calls.failing {
+	before := s.availability.Load()
+	if !before.Lost() {
 		telemetry.EventTokenServerUnreachable.Log(s.logger, zap.Error(err))
 	}
-	s.calls.failing = true
+	after := before.Failed(turn.Now())
+	s.availability.Publish(&after)
 	s.calls.pausedUntil = turn.Now() + retryCall
 	s.wakeAfter(turn, retryCall)
 }
