Return the customer's token of a retry that the retry budget refuses

Seen by callers: while backends fail and the service's retry budget is used up, each lookup that fails costs its customer two tokens although it runs once; a customer at half its rate is then refused as rate-limited. Cause: takeRetryCost took the customer's token first, and kept it if the retry budget refused. Evidence, without the change (4 tokens, no retry budget, 4 lookups that fail): --- FAIL: TestRetryRefusedByTheBudgetReturnsTheCustomersToken router_test.go:62: "[lookups2 lookups3]" should have 4 item(s), but has 2 Change: the token is returned, as that of a request that no backend has run. Taking the budget first would lose a token of the budget, which all customers of the service share, if the customer has none left.

--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -86,12 +86,16 @@
 	if c.arrivals == 0 {
 		return entity.Outcome{}, true
 	}
-	if c.runs > 0 && c.customer != nil {
+	servedTwice := c.runs > 0 && c.customer != nil
+	if servedTwice {
 		if ok, _ := s.loads.Admit(c.customer, s.members.MembersView(), s.kernel.Now()); !ok {
 			return entity.NotRun(entity.ReasonRateLimited, "the customer's rate leaves no token for a retry"), false
 		}
 	}
 	if !s.loads.TakeRetryToken(c.service.Name) {
+		if servedTwice {
+			s.loads.RefundToken(c.customer)
+		}
 		return entity.NotRun(entity.ReasonShed, "retry budget exhausted"), false
 	}
 	return entity.Outcome{}, true
--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -106,6 +106,12 @@
 }
 
 func newTestRouterWithLog(t testing.TB, customer *catalog.Customer, log *zap.Logger) *testRouter {
+	t.Helper()
+	instance := service.InstanceConfig{ID: "one", Zone: "a", RetryRatio: 1, RetrySlack: 100, DrainTime: 2 * time.Second}
+	return newTestRouterOf(t, instance, customer, log)
+}
+
+func newTestRouterOf(t testing.TB, instance service.InstanceConfig, customer *catalog.Customer, log *zap.Logger) *testRouter {
 	t.Helper()
 	routes := []*catalog.Route{
 		{Name: "lookups", Host: host, PathPrefix: "/lookups/", Targets: []catalog.Target{{Service: lookups, Weight: 1}}, Idempotent: true, Timeout: 2 * time.Second, MaxAttempts: attempts},
@@ -128,7 +134,6 @@
 	close(b.directory.ready)
 	b.keys = &fakeKeys{stub: stub{service.Keys}, view: &service.KeyView{Version: 1, Changed: make(chan struct{}), State: ownedBy("orders1")}}
 	b.endpoints = &fakeEndpoints{stub: stub{service.Endpoints}}
-	instance := service.InstanceConfig{ID: "one", Zone: "a", RetryRatio: 1, RetrySlack: 100, DrainTime: 2 * time.Second}
 	b.router = router.New(instance, log, metrics.NewRegistry())
 	k, err := kernel.New(b.clock, []kernel.Service{
 		b.directory, b.keys, fakeMembers{stub{service.Members}}, loads.New(instance, metrics.NewRegistry()), b.endpoints, b.router,
--- a/internal/service/router/router_test.go
+++ b/internal/service/router/router_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
 	"github.com/pollenpier/pollenpier/internal/entity"
@@ -46,6 +47,21 @@
 	require.Equal(t, http.StatusOK, b.call("/orders/1", key, true).Status)
 }
 
+// Guards against a customer that is refused within its rate because retries took its tokens that the retry budget refused.
+func TestRetryRefusedByTheBudgetReturnsTheCustomersToken(t *testing.T) {
+	const burst = 4
+	customer := &catalog.Customer{ID: "florist", Keys: []string{key}, Rate: 0.001, Burst: burst}
+	b := newTestRouterOf(t, service.InstanceConfig{ID: "one", Zone: "a", DrainTime: 2 * time.Second}, customer, zap.NewNop())
+	b.endpoints.answer = succeeding
+	b.call("/lookups/1", key, false) // creates the bucket
+	b.clock.Advance(4 * time.Hour)   // fills it
+	b.endpoints.answer, b.endpoints.delivered = failing, nil
+	for range burst {
+		b.call("/lookups/1", key, false)
+	}
+	require.Len(t, b.endpoints.delivered, burst)
+}
+
 // Guards against an earlier answer that is lost if there is no token for another attempt. The request has run, so a refusal would
 // be false.
 func TestRequestThatRanIsNotRefusedWithoutARetryToken(t *testing.T) {
