Name the true reason where an instance cannot check the rate yet

Seen by callers: 429 rate-limited from an instance that has just started, from one that has not received a new customer's limits, and from one whose control goroutine has a full mailbox. The customer may be far below its rate. Cause: all refusals of the admission service had the same reason. Evidence, without the change: --- FAIL: TestRefusalsHaveRetryDelayAndTrueReason admission_test.go:196: expected: "no-owner" actual: "rate-limited" Change: no-owner while the limits are unknown, which is what the gateway answers without a configuration, and queue-full for the full mailbox, which is what the gateway answers if too many requests are in the instance. The full mailbox has no test.

--- a/internal/service/admission/admit.go
+++ b/internal/service/admission/admit.go
@@ -59,11 +59,11 @@
 func (s *Service) Admit(ctx context.Context, customer entity.CustomerID) service.AdmitResult {
 	table := s.table.Load()
 	if table == nil {
-		return refuse("the limits of customers are not known yet", s.settings.MaxWait)
+		return refuse(entity.ReasonNoOwner, "the limits of customers are not known yet", s.settings.MaxWait)
 	}
 	a, ok := (*table)[customer]
 	if !ok {
-		return refuse("the limits of the customer are not known yet", minRetryAfter)
+		return refuse(entity.ReasonNoOwner, "the limits of the customer are not known yet", minRetryAfter)
 	}
 	a.pool.CountArrival()
 	if ok, low := a.pool.Spend(s.kernel.Now()); ok {
@@ -96,7 +96,7 @@
 	defer a.queued.Add(-1)
 	w := &waiter{customer: customer, admitted: make(chan struct{}, 1)}
 	if !s.kernel.Post(service.Admission, w) {
-		return s.refused(a, "the instance is overloaded")
+		return refuse(entity.ReasonQueueFull, "the instance is overloaded", minRetryAfter)
 	}
 	if s.awaitToken(ctx, w, arrived, remaining) {
 		return admittedResult
@@ -141,10 +141,7 @@
 		return s.refused(a, detail)
 	}
 	s.counters.unavailable.Inc(1)
-	return service.AdmitResult{
-		Outcome: entity.NotRun(entity.ReasonUnreachable, "no token server of the zone can be reached"),
-		Wait:    outageRetryAfter,
-	}
+	return refuse(entity.ReasonUnreachable, "no token server of the zone can be reached", outageRetryAfter)
 }
 
 // refused counts and returns a refusal. Its wait is the time after which a token can be expected, given that the
@@ -156,13 +153,11 @@
 		ahead := float64(a.queued.Load()) / a.limits.Rate
 		wait = max(wait, time.Duration(ahead*float64(time.Second)))
 	}
-	return refuse(detail, wait)
+	return refuse(entity.ReasonRateLimited, detail, wait)
 }
 
-func refuse(detail string, wait time.Duration) service.AdmitResult {
-	return service.AdmitResult{
-		Outcome: entity.NotRun(entity.ReasonRateLimited, detail), Wait: max(wait, minRetryAfter),
-	}
+func refuse(reason entity.Reason, detail string, wait time.Duration) service.AdmitResult {
+	return service.AdmitResult{Outcome: entity.NotRun(reason, detail), Wait: max(wait, minRetryAfter)}
 }
 
 // queue holds the waiting requests of one customer, oldest first.
