Wait for the last log line before the process exits

What operators saw: the last line of a process, which says how its stop ended, could be missing.

Cause: Sync returned when the queue was empty, while its last line had been taken out but not written.

It no longer polls.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -24,23 +24,30 @@
 
 // boundedWriter queues lines for one goroutine, which writes them to out. It counts the lines that were not written.
 type boundedWriter struct {
-	lines   chan []byte
+	queue   chan queued
 	dropped atomic.Int64
 	out     io.Writer
 }
 
+// queued is a line to be written, or a mark that is closed when all earlier lines have been written.
+type queued struct {
+	line []byte
+	mark chan<- struct{}
+}
+
 func newBoundedWriter(out io.Writer) *boundedWriter {
-	w := &boundedWriter{lines: make(chan []byte, queuedLines), out: out}
+	w := &boundedWriter{queue: make(chan queued, queuedLines), out: out}
 	go w.run()
 	return w
 }
 
 func (w *boundedWriter) run() {
-	for line := range w.lines {
-		if line == nil {
-			return
+	for next := range w.queue {
+		if next.mark != nil {
+			close(next.mark)
+			continue
 		}
-		if _, err := w.out.Write(line); err != nil {
+		if _, err := w.out.Write(next.line); err != nil {
 			w.dropped.Add(1)
 		}
 	}
@@ -49,18 +56,26 @@
 // Write queues a copy of line. It never blocks and returns no error: if the queue is full, the line is dropped and counted.
 func (w *boundedWriter) Write(line []byte) (int, error) {
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.queue <- queued{line: append([]byte(nil), line...)}:
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-// Sync waits until the queue is empty, for syncWait at most. It returns no error.
+// Sync waits until all queued lines have been written, for syncWait at most. It returns no error.
 func (w *boundedWriter) Sync() error {
-	deadline := time.Now().Add(syncWait)
-	for len(w.lines) > 0 && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
+	timeout := time.NewTimer(syncWait)
+	defer timeout.Stop()
+	written := make(chan struct{})
+	select {
+	case w.queue <- queued{mark: written}:
+	case <-timeout.C:
+		return nil
+	}
+	select {
+	case <-written:
+	case <-timeout.C:
 	}
 	return nil
 }
