Bound the time of a stop by callers that send half a request

- Half a head, or the empty line that old clients send after a POST, counted as a request in progress: the stop lasted its whole time and reported the connection as unanswered.
The rest of the headers must now arrive within 1 s (TestStopDoesNotWaitForIncompleteHeaders).
- A request whose body stalls was cut at the time limit.
The wait for the body is ended and the handler answers (TestRequestWithAStalledBodyIsAnsweredAtTheTimeLimit).
- A panic after a flush that nothing was written before completed the truncated answer (200, found in review); it aborts the connection now (TestPanicInAFlushedAnswerTruncatesIt).
- An answer that was cut while it was written counted as complete (TestAnswerThatIsNotReadIsReportedAtTheTimeLimit).
- What net/http reads ahead while a handler runs was told from a body by the size of its buffer, which a body can have, too.
The end of the body decides.

TestRequestReadAsTheStopBeginsIsAnswered now lasts longer than the limit on headers, since a deadline left on the connection would cancel the request.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -30,9 +30,8 @@
 	return [...]string{"waiting", "reading", "handling", "answered"}[p]
 }
 
-// readAheadSize is the size of the buffer, in bytes, into which net/http reads while a handler runs, in order to notice that the
-// caller closes the connection. All its other buffers are larger.
-const readAheadSize = 1
+// stopReadTimeout bounds the time to read the rest of the headers of a request during a stop.
+const stopReadTimeout = time.Second
 
 // past is a deadline that interrupts reads in progress.
 var past = time.Unix(1, 0)
@@ -48,8 +47,10 @@
 	request    string // the caller's ID of the request, see Identify
 	began      time.Time
 	bytes      int   // bytes read of the request
+	bodyEnded  bool  // the body of the request has been read to its end
 	readAhead  int   // bytes read of the next request
 	written    bool  // part of the answer has been written
+	writing    bool  // a write is in progress
 	peerClosed bool  // the caller has closed or reset the connection
 	writeError error // the answer could not be written
 	aborted    Cause // why the handler did not return normally
@@ -65,7 +66,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.countRead(n, len(p) == readAheadSize)
+		c.countRead(n)
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.peerClosed = true
@@ -73,14 +74,14 @@
 	return n, err
 }
 
-// countRead counts data of a request. ahead is true for data that net/http reads while a handler runs, which begins the next
-// request. The caller holds the lock.
-func (c *conn) countRead(n int, ahead bool) {
+// countRead counts data of a request. While a handler runs, net/http reads on, in order to notice that the caller closes the
+// connection; what it reads after the body begins the next request. The caller holds the lock.
+func (c *conn) countRead(n int) {
 	switch {
 	case c.phase == phaseWaiting:
 		c.begin(n)
-	case ahead && c.phase != phaseReading:
-		c.readAhead = n
+	case c.phase != phaseReading && c.bodyEnded:
+		c.readAhead += n
 	default:
 		c.bytes += n
 	}
@@ -89,11 +90,16 @@
 // begin records that the first n bytes of a request have been read. The caller holds the lock.
 func (c *conn) begin(n int) {
 	c.phase, c.began, c.bytes = phaseReading, time.Now(), n
-	if c.stopping { // the data had left the socket when the connection was stopped, so the request must be read to its end
-		_ = c.Conn.SetReadDeadline(c.began.Add(c.server.options.ReadHeaderTimeout)) // fails only on a closed socket
+	if c.stopping { // the data had left the socket when the connection was stopped
+		c.setReadDeadline(c.began.Add(stopReadTimeout))
 	}
 }
 
+// setReadDeadline sets the deadline of the socket. The caller holds the lock.
+func (c *conn) setReadDeadline(t time.Time) {
+	_ = c.Conn.SetReadDeadline(t) // fails only on a closed socket
+}
+
 // isFinished reports whether the connection is stopping and no request is in progress.
 func (c *conn) isFinished() bool {
 	c.mu.Lock()
@@ -102,31 +108,53 @@
 }
 
 // stop makes the server close the connection without reading another request. A request of which anything was read is answered
-// first. The caller of a request that is still in the socket gets a reset, which shows that it was not read.
+// first, if the caller sends the rest of its headers within stopReadTimeout. The caller of a request that is still in the socket
+// gets a reset, which shows that it was not read.
 func (c *conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopping = true
-	if c.phase == phaseWaiting {
-		_ = c.Conn.SetReadDeadline(past) // fails only on a closed socket
+	switch c.phase {
+	case phaseWaiting:
+		c.setReadDeadline(past)
+	case phaseReading:
+		c.setReadDeadline(time.Now().Add(stopReadTimeout))
+	case phaseHandling, phaseAnswered: // net/http uses the deadline to end its reading ahead
 	}
 }
 
-// SetReadDeadline implements net.Conn. It does not let the HTTP server extend the deadline that stop has set.
+// interruptBody ends the wait for the rest of the request's body, so that the handler can answer.
+func (c *conn) interruptBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseHandling && !c.bodyEnded {
+		c.setReadDeadline(past)
+	}
+}
+
+// SetReadDeadline implements net.Conn. It does not let net/http extend the deadlines of a connection that is stopping. A zero t,
+// after the headers of a request, always removes the deadline: it would end the request in progress.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping && c.phase == phaseWaiting {
 		t = past
 	}
+	if limit := time.Now().Add(stopReadTimeout); c.stopping && c.phase == phaseReading && t.After(limit) {
+		t = limit
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing = true
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writing = false
 	c.written = c.written || n > 0
 	if err != nil {
 		c.writeError = err
@@ -157,7 +185,7 @@
 
 // unanswered describes the current request if it has no complete answer, and returns nil otherwise. The caller holds the lock.
 func (c *conn) unanswered() *Unanswered {
-	complete := c.phase == phaseAnswered && c.written && c.writeError == nil
+	complete := c.phase == phaseAnswered && c.written && !c.writing && c.writeError == nil
 	rejected := c.phase == phaseReading && c.written // net/http rejects invalid and incomplete requests without a handler
 	if c.phase == phaseWaiting || complete || rejected {
 		return nil
@@ -182,13 +210,23 @@
 }
 
 // handling records that a handler serves the current request.
-func (c *conn) handling() {
+func (c *conn) handling(hasBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseWaiting {
 		c.began = time.Now()
 	}
-	c.phase = phaseHandling
+	c.phase, c.bodyEnded = phaseHandling, !hasBody
+	if c.stopping { // the headers were in time
+		c.setReadDeadline(time.Time{})
+	}
+}
+
+// endBody records that the body of the request has been read to its end.
+func (c *conn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyEnded = true
 }
 
 // handled records that the handler has returned normally.
@@ -223,3 +261,18 @@
 		c.readAhead = 0
 	}
 }
+
+// trackedBody is the body of a request, of which it reports the end.
+type trackedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.endBody()
+	}
+	return n, err
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -44,7 +44,7 @@
 // Options configures a Server.
 type Options struct {
 	Handler http.Handler
-	// ReadHeaderTimeout bounds the time to read the headers of a request. It must be positive.
+	// ReadHeaderTimeout bounds the time to read the headers of a request.
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may wait for its next request. Zero means no limit.
 	IdleTimeout time.Duration
@@ -169,7 +169,10 @@
 	if !ok {
 		panic("request without a tracked connection")
 	}
-	c.handling()
+	c.handling(r.Body != http.NoBody)
+	if r.Body != http.NoBody {
+		r.Body = trackedBody{ReadCloser: r.Body, conn: c}
+	}
 	answer := &answerWriter{ResponseWriter: w, server: s}
 	defer s.recoverPanic(c, answer)
 	s.options.Handler.ServeHTTP(answer, r)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -79,6 +79,19 @@
 	require.Equal(t, http.StatusInternalServerError, s.dial().call("b"))
 }
 
+// Guards against an answer that a panic truncates and that looks complete.
+func TestPanicInAFlushedAnswerTruncatesIt(t *testing.T) {
+	s := newSite(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		panic("broken")
+	}, nil)
+	c := s.dial()
+	c.send("a")
+	_, err := c.receive()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Len(t, s.unanswered(), 1)
+}
+
 // Guards against reports about requests that were answered, and about connections that close without a request.
 func TestAnsweredRequestIsNotReported(t *testing.T) {
 	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/httpserver/stop.go
+++ b/internal/httpserver/stop.go
@@ -17,7 +17,7 @@
 
 // Shutdown closes the listener and all connections without losing a request. A connection on which nothing of a request has been
 // read is closed at once; its caller can tell that a request that crosses the close was not read. All other requests are answered
-// first. When ctx ends, the contexts of the requests in progress are canceled, so that they are answered without their result, and
+// first, unless their headers do not arrive within stopReadTimeout. When ctx ends, the contexts of the requests in progress are canceled, so that they are answered without their result, and
 // Shutdown returns an error. The Shutdown of net/http is not used, since it closes connections that it is reading from and drops
 // requests that it has read.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -29,7 +29,7 @@
 	case <-ctx.Done():
 	}
 	err = errors.Join(err, errors.Wrapf(ctx.Err(), "%d requests in progress", s.busy()))
-	s.cancel()
+	s.cancelRequests()
 	select {
 	case <-s.drained:
 	case <-time.After(answerTimeout):
@@ -69,6 +69,16 @@
 	return ignoreClosed(s.socket.Close())
 }
 
+// cancelRequests cancels the contexts of the requests in progress and ends the wait for their bodies.
+func (s *Server) cancelRequests() {
+	s.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.interruptBody()
+	}
+}
+
 // checkDrained reports that a stopping server has no connections left. The caller holds the lock.
 func (s *Server) checkDrained() {
 	if !s.stoppingAt.IsZero() && len(s.conns) == 0 && !s.isDrained {
@@ -108,4 +118,9 @@
 }
 
 // Flush implements http.Flusher.
-func (w *answerWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() } // net/http's writer can always be flushed
+func (w *answerWriter) Flush() {
+	if !w.started {
+		w.WriteHeader(http.StatusOK)
+	}
+	_ = http.NewResponseController(w.ResponseWriter).Flush() // net/http's writer can always be flushed
+}
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -52,7 +53,16 @@
 // Guards against a request that is read from an open connection just as the stop closes it, and gets no answer.
 func TestRequestReadAsTheStopBeginsIsAnswered(t *testing.T) {
 	held := &heldListener{armed: make(chan struct{}, 1), read: make(chan struct{}), pass: make(chan struct{})}
-	s := newSite(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener {
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		case <-time.After(stopReadTimeout + 200*time.Millisecond): // longer than any limit on the reading of the request
+		}
+	}, func(l net.Listener) net.Listener {
 		held.Listener = l
 		return held
 	})
@@ -138,6 +148,51 @@
 	}
 }
 
+// Guards against a stop that waits for its whole time because a caller has sent part of a request, or an empty line after one.
+func TestStopDoesNotWaitForIncompleteHeaders(t *testing.T) {
+	s := newSite(t, func(http.ResponseWriter, *http.Request) {}, nil)
+	half, emptyLine := s.dial(), s.dial()
+	_, err := io.WriteString(half.socket, "GET /a HTTP/1.1\r\nHo")
+	require.NoError(t, err)
+	_, err = io.WriteString(emptyLine.socket, "POST /a HTTP/1.1\r\nHost: test\r\nContent-Length: 1\r\n\r\nx")
+	require.NoError(t, err)
+	status, err := emptyLine.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	_, err = io.WriteString(emptyLine.socket, "\r\n")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, <-s.stop(4*stopReadTimeout))
+}
+
+// Guards against a request whose body does not arrive and that gets no answer when the time of the stop is over.
+func TestRequestWithAStalledBodyIsAnsweredAtTheTimeLimit(t *testing.T) {
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}, nil)
+	c := s.dial()
+	_, err := io.WriteString(c.socket, "POST /a HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\nhalf")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	stopped := s.stop(100 * time.Millisecond)
+	status, err := c.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadRequest, status)
+	require.ErrorIs(t, <-stopped, context.DeadlineExceeded)
+}
+
+// Guards against an answer that is cut while it is written and is not reported.
+func TestAnswerThatIsNotReadIsReportedAtTheTimeLimit(t *testing.T) {
+	s := newSite(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 64<<20)) }, nil)
+	c := s.dial()
+	c.send("a")
+	time.Sleep(100 * time.Millisecond)
+	require.ErrorIs(t, <-s.stop(100*time.Millisecond), context.DeadlineExceeded)
+	require.Eventually(t, func() bool { return len(s.unanswered()) == 1 }, 2*time.Second, 5*time.Millisecond)
+}
+
 // Guards against a stop under load that closes connections of which it has read a request.
 func TestStopUnderLoadLeavesNoReadRequestUnanswered(t *testing.T) {
 	const rounds, callers = 10, 60
