--- a/internal/httpserver/harness_test.go
+++ b/internal/httpserver/harness_test.go
@@ -49,9 +49,10 @@
 
 // caller is a client with one connection.
 type caller struct {
-	t      *testing.T
-	socket net.Conn
-	reader *bufio.Reader
+	t       *testing.T
+	socket  net.Conn
+	reader  *bufio.Reader
+	closing bool // the last answer announced that the connection is closed
 }
 
 func (s *site) dial() *caller {
@@ -76,6 +77,7 @@
 		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.closing = response.Close
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -146,9 +146,8 @@
 	}
 }
 
-// report counts and logs a request without a complete answer.
+// report logs and counts a request without a complete answer.
 func (s *Server) report(c *conn, u *Unanswered, stoppingAt time.Time) {
-	metrics.GetOrRegisterCounter(s.options.Name+".unanswered."+string(u.Cause), s.options.Registry).Inc(1)
 	event := telemetry.EventRequestUnanswered
 	if u.Cause == CauseCallerClosed {
 		event = telemetry.EventRequestLeft
@@ -161,6 +160,7 @@
 		fields = append(fields, zap.Duration("stopping_for", time.Since(stoppingAt)))
 	}
 	event.Log(s.options.Log, fields...)
+	metrics.GetOrRegisterCounter(s.options.Name+".unanswered."+string(u.Cause), s.options.Registry).Inc(1)
 }
 
 // handle serves one request and records its progress at the connection.
@@ -176,6 +176,9 @@
 	answer := &answerWriter{ResponseWriter: w, server: s}
 	defer s.recoverPanic(c, answer)
 	s.options.Handler.ServeHTTP(answer, r)
+	if !answer.started {
+		answer.WriteHeader(http.StatusOK)
+	}
 	c.handled()
 }
 
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -148,6 +148,31 @@
 	}
 }
 
+// Guards against callers that learn of the stop only when their connection is closed under the next request: an answer that
+// begins after Leave announces the close, also if its request came before.
+func TestAnswersOfALeavingServerAnnounceTheClose(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := newSite(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/before" {
+			close(begun)
+			<-release
+		}
+	}, nil)
+	before, after := s.dial(), s.dial()
+	require.Equal(t, http.StatusOK, after.call("a"))
+	require.False(t, after.closing)
+	before.send("before")
+	<-begun
+	s.server.Leave()
+	require.Equal(t, http.StatusOK, after.call("b"))
+	require.True(t, after.closing)
+	close(release)
+	status, err := before.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, before.closing)
+}
+
 // Guards against a stop that waits for its whole time because a caller has sent part of a request, or an empty line after one.
 func TestStopDoesNotWaitForIncompleteHeaders(t *testing.T) {
 	s := newSite(t, func(http.ResponseWriter, *http.Request) {}, nil)
