Complete the start before a planned stop

Symptom: a process that got SIGTERM while it was starting reported event 1005 (instance failed to start) and exited with 1; services that already listened were dropped without their planned stop.

Cause: the context that ends at the signal was also the context of the start. fx returns from Start as soon as it ends, while the services are still being started, and does not stop them.

Evidence: the new tests hold the process at its settings file, a named pipe, and send SIGTERM.

--- a/cmd/pollenpier/serve.go
+++ b/cmd/pollenpier/serve.go
@@ -43,13 +43,14 @@
 	return serve(signals.stopContext(log), s, log)
 }
 
-// serve runs an instance until ctx ends and then performs a planned stop.
+// serve runs an instance until ctx ends and then performs a planned stop. If ctx ends during the start, serve completes the start
+// first, because only a started instance can finish the requests that it has accepted.
 func serve(ctx context.Context, s *settings.Settings, log *zap.Logger) error {
 	instance, err := app.New(s, log)
 	if err != nil {
 		return err
 	}
-	starting, cancelStart := context.WithTimeout(ctx, startTimeout)
+	starting, cancelStart := context.WithTimeout(context.Background(), startTimeout)
 	defer cancelStart()
 	if err := instance.Start(starting); err != nil {
 		return err
--- a/internal/e2e/signals_test.go
+++ b/internal/e2e/signals_test.go
@@ -51,26 +51,24 @@
 	require.Equal(t, 130, i.cmd.ProcessState.ExitCode())
 }
 
+// Guards against an instance that reports a failed start because it is asked to stop before the start is complete.
+func TestTerminationDuringTheStartIsAPlannedStop(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
+	i, feed := s.addWaitingInstance("a")
+	require.NoError(t, i.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(100 * time.Millisecond) // the process waits for its settings
+	feed()
+	s.requireCleanExit(i.process)
+}
+
 // Guards against an instance that is ended by SIGHUP while it reads its settings, starts, serves or stops.
 func TestHangupEndsNoInstance(t *testing.T) {
 	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
-	i, path := s.newInstance("a")
-	settings, err := os.ReadFile(path)
-	require.NoError(t, err)
-	require.NoError(t, os.Remove(path))
-	require.NoError(t, syscall.Mkfifo(path, 0o600))
-	i.process = s.run(i.admin, "serve", "--settings", path)
-	var pipe *os.File
-	s.eventually(func() bool { // fails with ENXIO until the process has opened the file
-		pipe, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
-		return err == nil
-	}, "the process did not open its settings")
+	i, feed := s.addWaitingInstance("a")
 	stop := i.sendHangups()
 	defer stop()
 	time.Sleep(100 * time.Millisecond) // the process waits for its settings
-	_, err = pipe.Write(settings)
-	require.NoError(t, err, "SIGHUP ended the process")
-	require.NoError(t, pipe.Close())
+	feed()
 	s.waitListening(i.process)
 	s.waitServed(manyKeys(4))
 	long := s.startLong(i)
@@ -87,6 +85,28 @@
 	s.requireCleanExit(s.backends["a1"])
 }
 
+// addWaitingInstance starts an instance that waits for its settings until the returned function is called. The process has opened
+// the file when addWaitingInstance returns.
+func (s *site) addWaitingInstance(zone string) (i *instance, feed func()) {
+	s.t.Helper()
+	i, path := s.newInstance(zone)
+	settings, err := os.ReadFile(path)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.Remove(path))
+	require.NoError(s.t, syscall.Mkfifo(path, 0o600))
+	i.process = s.run(i.admin, "serve", "--settings", path)
+	var pipe *os.File
+	s.eventually(func() bool { // fails with ENXIO until the process has opened the file
+		pipe, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil
+	}, "the process did not open its settings")
+	return i, func() {
+		_, err := pipe.Write(settings)
+		require.NoError(s.t, err, "a signal ended the process")
+		require.NoError(s.t, pipe.Close())
+	}
+}
+
 // startLong sends a request that is in flight for longRequest and waits until a backend runs it. The result arrives at the
 // returned channel.
 func (s *site) startLong(i *instance) <-chan result {
