Keep serving when the reader of the log exits

Symptom: when the process that reads standard output (platform) or standard error (serve) exits, the next log line ended the instance, and all requests in flight lost their connections.

Cause: a Go program ends by SIGPIPE when a write to file descriptor 1 or 2 fails with EPIPE, unless the signal is received or ignored. The bounded logger counts failed writes, but never saw the error.

Change: the commands that serve requests ignore SIGPIPE for their lifetime. A write then returns an error, which the bounded logger counts as a dropped line and zap passes over. The instance answers the requests, stops as planned and exits with 0. Other commands keep the default, so that `pollenpier explain ... | head` ends.

--- a/cmd/pollenpier/signals.go
+++ b/cmd/pollenpier/signals.go
@@ -31,6 +31,8 @@
 	signal.Notify(s.terminations, syscall.SIGTERM)
 	signal.Notify(s.interrupts, os.Interrupt)
 	signal.Notify(s.hangups, syscall.SIGHUP)
+	// A write to standard output or standard error whose reader has exited would end the process; it returns an error instead.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/internal/e2e/signals_test.go
+++ b/internal/e2e/signals_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"io"
 	"os"
 	"strings"
 	"sync"
@@ -78,6 +79,25 @@
 	s.requireCleanExit(i.process)
 }
 
+// Guards against an instance that is ended by SIGPIPE, with its requests in flight, when the reader of its log exits.
+func TestLostLogReaderEndsNoInstance(t *testing.T) {
+	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
+	i, path := s.newInstance("a")
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	i.process = s.runWithOutput(writer, i.admin, "serve", "--settings", path)
+	require.NoError(t, writer.Close()) // the process has the only copy
+	go func() { _, _ = io.Copy(i.log, reader) }()
+	s.waitListening(i.process)
+	s.waitServed(manyKeys(4))
+	long := s.startLong(i)
+	require.NoError(t, reader.Close())
+	require.NoError(t, i.cmd.Process.Signal(syscall.SIGTERM))
+	r := <-long
+	require.Equal(t, "answered", r.outcome, "%+v", r)
+	s.requireCleanExit(i.process)
+}
+
 // Guards against a simulated server that is killed when its terminal is closed, instead of stopping.
 func TestHangupStopsASimulatedServer(t *testing.T) {
 	s := newSite(t, map[string][]string{"a": {"a1"}}, true)
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -173,9 +173,18 @@
 
 // run runs the program and does not wait.
 func (s *site) run(address string, args ...string) *process {
+	s.t.Helper()
+	return s.runWithOutput(nil, address, args...)
+}
+
+// runWithOutput is run for a process that writes its output to the given writer, or to its own buffer if that is nil.
+func (s *site) runWithOutput(output io.Writer, address string, args ...string) *process {
 	s.t.Helper()
 	p := &process{cmd: exec.Command(binary, args...), address: address, log: &lockedBuffer{}, exited: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if output == nil {
+		output = p.log
+	}
+	p.cmd.Stdout, p.cmd.Stderr = output, output
 	require.NoError(s.t, p.cmd.Start())
 	go func() {
 		defer close(p.exited)
