Name the caller as the cause where it has left a streamed answer

Found in review: the gateway aborts the answer of a caller that has left, and the report named the abort (a warning) instead of the caller. Also a test of the deadline that a stopping connection keeps, which no test failed without.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -198,10 +198,12 @@
 // cause returns why the connection is closed before the request has a complete answer. The caller holds the lock.
 func (c *conn) cause() Cause {
 	switch {
+	case c.aborted == CausePanic:
+		return CausePanic
+	case c.peerClosed: // the reason why handlers abort most of the answers that they abort
+		return CauseCallerClosed
 	case c.aborted != "":
 		return c.aborted
-	case c.peerClosed:
-		return CauseCallerClosed
 	case c.writeError != nil:
 		return CauseWriteFailed
 	default:
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -34,6 +34,11 @@
 			act:   func(_ *site, c *caller) { c.send("a"); time.Sleep(50 * time.Millisecond); _ = c.socket.Close() },
 			cause: CauseCallerClosed, phase: "handling",
 		},
+		"caller closes and the handler truncates its answer": {
+			handler: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); panic(http.ErrAbortHandler) },
+			act:     func(_ *site, c *caller) { c.send("a"); time.Sleep(50 * time.Millisecond); _ = c.socket.Close() },
+			cause:   CauseCallerClosed, phase: "handling",
+		},
 		"handler panics in its answer": {
 			handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK); panic("broken") },
 			act:     func(_ *site, c *caller) { c.send("a") },
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -173,6 +173,25 @@
 	require.True(t, before.closing)
 }
 
+// Guards against a connection that stays open for the idle time because its last answer began before the stop.
+func TestConnectionIsClosedAfterAnAnswerThatBeganBeforeTheStop(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := newSite(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		close(begun)
+		<-release
+	}, nil)
+	c := s.dial()
+	c.send("a")
+	<-begun
+	stopped := s.stop(2 * time.Second)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	_, err := c.receive()
+	require.NoError(t, err)
+	require.NoError(t, <-stopped)
+}
+
 // Guards against a stop that waits for its whole time because a caller has sent part of a request, or an empty line after one.
 func TestStopDoesNotWaitForIncompleteHeaders(t *testing.T) {
 	s := newSite(t, func(http.ResponseWriter, *http.Request) {}, nil)
