Allow for drift in the age of a relayed configuration

Seen by callers: nothing yet; a customer's key can be accepted up to 1.03 times as long after its withdrawal as key_staleness allows, by an instance that reads the configuration through a peer with a slow clock. Cause: config took the age that a peer measured as it is. control and lease add 3% (clocks 1% slow and 1% fast, and the rounding on the wire). Evidence, without the change (age 100 s): --- FAIL: TestRelayedAgeAllowsForDrift config_test.go:258: "1m40.005334212s" is not greater than or equal to "1m42s" Change: the margin stands once, in service.LongestAge, and the time of a relayed read in RelayedBatch.ReadAt. config, control and lease use them. The values of control and lease change by less than 100 ns, from a different rounding.

--- a/internal/service/config/config_test.go
+++ b/internal/service/config/config_test.go
@@ -74,6 +74,8 @@
 	fakeService
 	mu    sync.Mutex
 	nodes map[string]*node
+	// relayedAge replaces the age in the peers' answers, if it is not zero.
+	relayedAge time.Duration
 }
 
 var errUnreachable = errors.New("peer unreachable")
@@ -100,6 +102,9 @@
 		if !a.Available {
 			return service.RelayedBatch{}, errUnreachable
 		}
+		if n.relayedAge != 0 {
+			a.Age = n.relayedAge
+		}
 		return a.RelayedBatch, nil
 	case <-ctx.Done():
 		return service.RelayedBatch{}, ctx.Err()
@@ -235,6 +240,24 @@
 	require.Len(t, versions, 4)
 }
 
+// Guards against a configuration that counts as fresher than it is, because the peer that measured its age has a slow clock.
+func TestRelayedAgeAllowsForDrift(t *testing.T) {
+	log, net := platformapi.NewFake(), newNetwork()
+	net.relayedAge = 100 * time.Second
+	version := publish(t, log, 0, 1)
+	a := net.start(t, "a", log, config.Settings{})
+	a.waitForVersion(t, version)
+	isolated := platformapi.NewFake()
+	isolated.SetFaults(platformapi.Faults{Unavailable: true})
+	late := net.start(t, "b", isolated, config.Settings{Peers: []string{"a"}})
+	late.waitForVersion(t, version)
+	require.Eventually(t, func() bool {
+		_, tailReads := late.subscriber.received()
+		return tailReads > 0
+	}, waitTimeout, 5*time.Millisecond)
+	require.GreaterOrEqual(t, late.kernel.Now()-late.config.ConfigStatus().FreshAt, net.relayedAge*102/100)
+}
+
 // Guards against an outage that counts as a freshness proof: as no instance has read the log, no configuration may
 // become fresher.
 func TestNoFreshnessInAnOutage(t *testing.T) {
--- a/internal/service/config/peers.go
+++ b/internal/service/config/peers.go
@@ -130,9 +130,7 @@
 	before, freshBefore := s.replay.Next(), s.tailAt
 	s.apply(s.following(m.batch.Records))
 	if m.batch.Age >= 0 {
-		// The peer's own read was sent Age before its answer. The answer is not earlier than the start of this call, so
-		// started minus Age is not later than that read.
-		s.recordRead(turn, m.started-m.batch.Age, m.batch.Next)
+		s.recordRead(turn, m.batch.ReadAt(m.started), m.batch.Next)
 	} else {
 		s.publish(turn)
 	}
--- a/internal/service/control/peers.go
+++ b/internal/service/control/peers.go
@@ -55,9 +55,7 @@
 	s.counters.relays.Inc(1)
 	s.replay(turn, m.batch.Records)
 	if m.batch.Age >= 0 {
-		// Age is the time from the peer's read at the tail to its answer, so this call began at most Age after that read. The
-		// peer's clock may be 1 % slow and the own one 1 % fast; one more percent covers the rounding on the wire.
-		s.reachedTail(turn, m.started-m.batch.Age-m.batch.Age*3/100, m.batch.Batch)
+		s.reachedTail(turn, m.batch.ReadAt(m.started), m.batch.Batch)
 	}
 }
 
--- a/internal/service/lease/proofs.go
+++ b/internal/service/lease/proofs.go
@@ -11,9 +11,6 @@
 // never is the time of a proof that does not exist. A cut-off hold can be added to it without overflow.
 const never = time.Duration(math.MinInt64 / 4)
 
-// agePercent is added to relayed ages: the clock of the relaying instance may be 1% slow and the own one 1% fast.
-const agePercent = 3
-
 // proofs holds the proofs that this instance may act. Their times are on the kernel's clock and never later than the
 // actual proof.
 type proofs struct {
@@ -44,15 +41,13 @@
 		return
 	}
 	if r.FreshnessAge >= 0 {
-		e.freshAt = max(e.freshAt, sentAt-stretched(r.FreshnessAge))
+		e.freshAt = max(e.freshAt, sentAt-service.LongestAge(r.FreshnessAge))
 	}
 	if sameZone && r.AuthorityAge >= 0 && r.ConfigVersion <= configVersion {
-		e.authorityAt = max(e.authorityAt, sentAt-stretched(r.AuthorityAge))
+		e.authorityAt = max(e.authorityAt, sentAt-service.LongestAge(r.AuthorityAge))
 	}
 }
 
-func stretched(age time.Duration) time.Duration { return age + age/100*agePercent }
-
 // age returns the age of a proof, service.UnknownAge if there is none.
 func age(now, at time.Duration) time.Duration {
 	if at == never {
--- a/internal/service/peersource.go
+++ b/internal/service/peersource.go
@@ -32,6 +32,17 @@
 	Age time.Duration
 }
 
+// ReadAt returns a time on the caller's clock that is not later than the peer's read at the tail. That read was sent Age before
+// the peer's answer, and the answer is not earlier than the start of the call.
+func (b RelayedBatch) ReadAt(started time.Duration) time.Duration { return started - LongestAge(b.Age) }
+
+// agePercent is added to relayed ages: the clock of the relaying instance may be 1% slow and the own one 1% fast. One more percent
+// covers the rounding on the wire.
+const agePercent = 3
+
+// LongestAge returns the longest time on the own clock that an age measured by a peer can stand for.
+func LongestAge(age time.Duration) time.Duration { return age + age*agePercent/100 }
+
 // StateQuery is sent by the peer server to control to serve FetchState, and to config to serve FetchConfigState. Reply must
 // have a free buffer slot.
 type StateQuery struct{ Reply chan<- StateAnswer }
