Keep the membership version when the last member of a group leaves

Seen by callers: nothing yet; two backends can own a partition. Cause: a release after a wait names the membership version on which its writer waited, and is dropped if members have changed since. The version was the highest of the groups' versions, and a group's version was deleted with its last member, so the value came back: a writer waits because the owner's zone has no members and is paused before it appends; a member joins that zone, manages the owner and leaves; the release matches again and applies without a new wait, while the backend's session with that member may last. Evidence, without the change: --- FAIL: TestReleaseAfterAWaitIsDroppedOnceAMemberHasComeAndGone expected: ownership.Verdict{Applied:false, Reason:"outdated version"} actual : ownership.Verdict{Applied:true, Reason:""} It is shown on the state alone, not with processes. Change: the version of an emptied group stays in the state, and in checkpoints, until the next change of members, which has a higher one. At most one group is kept so. Views leave it out, and the next Join of that group is based on version zero as before, so no record and no format changes. Replay: a Release in an existing log that was applied although a group had just emptied and a member had come and gone is dropped now. All instances of a deployment should replay with the same code.

--- a/internal/decide/ownership/state.go
+++ b/internal/decide/ownership/state.go
@@ -55,9 +55,10 @@
 
 // State is the replayed state of the control stream. It is not safe for concurrent use.
 type State struct {
-	next     entity.Offset
-	writers  map[entity.InstanceID]writerState
-	members  []Member
+	next    entity.Offset
+	writers map[entity.InstanceID]writerState
+	members []Member
+	// groups holds the version of each group that has members, and that of the group that changed last.
 	groups   map[GroupKey]uint64
 	services map[entity.ServiceName]*serviceState
 	zones    zoneState
@@ -190,6 +191,9 @@
 	if s.cached.Members == nil {
 		s.cached.Members = append([]Member{}, s.members...)
 		s.cached.GroupVersions = maps.Clone(s.groups)
+		if empty, ok := s.emptyGroup(); ok {
+			delete(s.cached.GroupVersions, empty)
+		}
 	}
 	if s.cached.LostZones == nil {
 		s.cached.LostZones, s.cached.LostVotes = s.zones.clone()
--- a/internal/decide/ownership/zones.go
+++ b/internal/decide/ownership/zones.go
@@ -113,7 +113,7 @@
 	s.cached.LostVotes = nil
 }
 
-// membershipVersion returns the offset of the last change of members, lost zones or votes that is still recorded in the state.
+// membershipVersion returns the offset of the last change of members, lost zones or votes. It never decreases.
 func (s *State) membershipVersion() entity.Offset {
 	last := s.zones.version
 	for _, version := range s.groups {
