Pass over a token server that has left the roster

The deterministic test without this change: --- FAIL: TestRedirectToAnInstanceThatLeftIsDropped handover_test.go:99: Condition never satisfied Change: an instance that is not in the roster is passed over: after the one that a peer named comes the one in the lease view, then the members in turn.

--- a/internal/service/admission/calls.go
+++ b/internal/service/admission/calls.go
@@ -103,22 +103,27 @@
 	if s.view == nil {
 		return "", false
 	}
-	id := s.calls.redirect
-	if id == "" || id == s.self.ID {
-		id = s.holder()
-	}
-	if id == "" {
-		return s.nextMemberAddress()
+	if address, ok := s.memberAddress(s.calls.redirect); ok {
+		return address, true
 	}
-	if id == s.self.ID {
+	holder := s.holder()
+	if holder == s.self.ID {
 		return "", false
 	}
-	for _, m := range s.view.Members {
-		if m.ID == id {
-			return m.Address, true
-		}
+	if address, ok := s.memberAddress(holder); ok {
+		return address, true
+	}
+	return s.nextMemberAddress()
+}
+
+// memberAddress returns the peer address of another instance. It returns false if the instance is not in the roster; it
+// may have left since a peer or the lease view named it.
+func (s *Service) memberAddress(id entity.InstanceID) (string, bool) {
+	if id == "" || id == s.self.ID {
+		return "", false
 	}
-	return "", false
+	m, ok := s.view.Member(id)
+	return m.Address, ok
 }
 
 // nextMemberAddress returns the address of the zone's next member, in round robin order. An instance outside the lease
@@ -179,7 +184,8 @@
 	s.counters.failures.Inc(1)
 	before := s.availability.Load()
 	if !before.Lost() {
-		telemetry.EventTokenServerUnreachable.Log(s.logger, zap.Error(err))
+		telemetry.EventTokenServerUnreachable.Log(s.logger, zap.String("holder", string(s.holder())),
+			zap.String("redirect", string(s.calls.redirect)), zap.Error(err))
 	}
 	after := before.Failed(turn.Now())
 	s.availability.Publish(&after)
--- a/internal/service/admission/handover_test.go
+++ b/internal/service/admission/handover_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pollenpier/pollenpier/internal/decide/ownership"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 	"github.com/pollenpier/pollenpier/internal/service/admission"
@@ -77,3 +78,25 @@
 		return n.Admit(context.Background(), "c").Outcome.Kind == entity.OutcomeAnswered
 	}, 20*time.Second, time.Millisecond)
 }
+
+// Guards against an instance that never finds the next token server, because a peer named one that has left the roster since.
+func TestRedirectToAnInstanceThatLeftIsDropped(t *testing.T) {
+	c := newCluster(t, 3, admission.Settings{MaxWait: 50 * time.Millisecond, MaxOutage: 50 * time.Millisecond})
+	c.configure(t, 1000, 1000)
+	c.settle(t)
+	leaving, next, staying := c.nodes[0], c.nodes[1], c.nodes[2]
+	name := service.TokenLease(0)
+	staying.leases.view.Publish(&service.LeaseView{Holders: map[service.LeaseName]entity.InstanceID{name: next.id}})
+	next.leases.view.Publish(&service.LeaseView{Holders: map[service.LeaseName]entity.InstanceID{name: leaving.id}})
+	view := &ownership.View{}
+	for _, n := range []*node{next, staying} {
+		view.Members = append(view.Members, ownership.Member{ID: n.id, Zone: zone, Address: string(n.id)})
+	}
+	c.send(t, service.OwnershipChanged{View: view})
+	// The next holder is asked before it has the lease and names the one that has left.
+	require.Equal(t, entity.OutcomeNotRun, staying.admission.Admit(context.Background(), "c").Outcome.Kind)
+	c.grantLease(t, 1, 1)
+	require.Eventually(t, func() bool {
+		return staying.admission.Admit(context.Background(), "c").Outcome.Kind == entity.OutcomeAnswered
+	}, 10*time.Second, time.Millisecond)
+}
