Answer requests that lie in the socket when a connection stops

Cause: a stopping connection was closed if nothing of a request had been read, also with data in its socket.

Change: a connection with data in its socket reads and answers that request first, like one of which data has been read.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase is the progress of a connection's current request.
@@ -43,6 +45,7 @@
 
 	mu         sync.Mutex
 	stopping   bool // the connection is closed before it reads another request
+	pending    bool // data of one more request was in the socket when the connection was stopped
 	phase      phase
 	request    string // the caller's ID of the request, see Identify
 	began      time.Time
@@ -90,7 +93,7 @@
 
 // begin records that the first n bytes of a request have been read. The caller holds the lock.
 func (c *conn) begin(n int) {
-	c.phase, c.began, c.bytes = phaseReading, time.Now(), n
+	c.phase, c.began, c.bytes, c.pending = phaseReading, time.Now(), n, false
 	if c.stopping { // the data had left the socket when the connection was stopped
 		c.setReadDeadline(c.began.Add(stopReadTimeout))
 	}
@@ -105,25 +108,47 @@
 func (c *conn) isFinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.stopping && c.phase == phaseWaiting
+	return c.finished()
 }
 
-// stop makes the server close the connection without reading another request. A request of which anything was read is answered
-// first, if the caller sends the rest of its headers within stopReadTimeout. The caller of a request that is still in the socket
-// gets a reset, which shows that it was not read.
+// finished is isFinished for callers that hold the lock.
+func (c *conn) finished() bool { return c.stopping && c.phase == phaseWaiting && !c.pending }
+
+// stop makes the server close the connection without reading another request. A request of which anything has arrived is answered
+// first, if the caller sends the rest of its headers within stopReadTimeout. The caller of a request that arrives later gets a
+// reset, which shows that it was not read.
 func (c *conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopping = true
-	switch c.phase {
-	case phaseWaiting:
+	c.pending = c.phase == phaseWaiting && hasData(c.Conn)
+	switch {
+	case c.finished():
 		c.setReadDeadline(past)
-	case phaseReading:
+	case c.phase == phaseWaiting, c.phase == phaseReading:
 		c.setReadDeadline(time.Now().Add(stopReadTimeout))
-	case phaseHandling, phaseAnswered: // net/http uses the deadline to end its reading ahead
+	default: // net/http uses the deadline to end its reading ahead
 	}
 }
 
+// hasData reports whether a socket has data that has not been read.
+func hasData(socket net.Conn) bool {
+	tcp, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { // unlike Read, Control does not wait for a read in progress
+		var one [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) // an error means that there is no data
+	})
+	return err == nil && n > 0
+}
+
 // interruptBody ends the wait for the rest of the request's body, so that the handler can answer.
 func (c *conn) interruptBody() {
 	c.mu.Lock()
@@ -138,10 +163,13 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopping && c.phase == phaseWaiting {
+	limit := time.Now().Add(stopReadTimeout)
+	switch {
+	case c.finished():
 		t = past
-	}
-	if limit := time.Now().Add(stopReadTimeout); c.stopping && c.phase == phaseReading && t.After(limit) {
+	case c.stopping && c.phase == phaseWaiting:
+		t = limit
+	case c.stopping && c.phase == phaseReading && t.After(limit):
 		t = limit
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -51,6 +51,54 @@
 	return n, err
 }
 
+// lateListener accepts connections whose reads wait until the test lets them pass, as in a process that is not scheduled.
+type lateListener struct {
+	net.Listener
+	pass chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	socket, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: socket.(*net.TCPConn), pass: l.pass}, nil
+}
+
+type lateConn struct {
+	*net.TCPConn
+	pass chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *lateConn) Read(p []byte) (int, error) {
+	<-c.pass
+	return c.TCPConn.Read(p)
+}
+
+// Guards against a request that lies in the socket of a process without processor time when the stop begins, and is reset.
+func TestRequestInTheSocketAsTheStopBeginsIsAnswered(t *testing.T) {
+	late := &lateListener{pass: make(chan struct{})}
+	s := newSite(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener {
+		late.Listener = l
+		return late
+	})
+	c, silent := s.dial(), s.dial()
+	require.Eventually(t, func() bool { return s.server.open.Value() == 2 }, time.Second, time.Millisecond)
+	c.send("unread")
+	time.Sleep(50 * time.Millisecond)
+	stopped := s.stop(5 * time.Second)
+	time.Sleep(50 * time.Millisecond)
+	close(late.pass)
+	status, err := c.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	_, err = silent.receive()
+	require.Error(t, err)
+	require.NoError(t, <-stopped)
+}
+
 // Guards against a request that is read from an open connection just as the stop closes it, and gets no answer.
 func TestRequestReadAsTheStopBeginsIsAnswered(t *testing.T) {
 	held := &heldListener{armed: make(chan struct{}, 1), read: make(chan struct{}), pass: make(chan struct{})}
