Limit the head and the interim answers that the HTTP client reads

Reported by other operators: bytes that are no answer may come without end, in a head or a body, until the caller closes. Cause: internal/h1 parsed answers with http.ReadResponse on an unlimited reader. An endless header line, header or status line was buffered until the deadline of the request; interim answers were skipped without a limit; a 101 was taken as interim; closing the body of a chunked answer that was too large read its remainder; and the error quoted the answer, so that it went into the log. Callers saw a 502 or 504 only at their deadline, and every request of the process is lost if its memory limit ends it. The outcome stays unknown, so an order is not sent again.

--- /dev/null
+++ b/internal/h1/answer.go
@@ -0,0 +1,145 @@
+package h1
+
+import (
+	"io"
+	"math"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// Limits of an answer. The chunks' headers and the trailer of a chunked body are limited by net/http: each line by the size of
+// the read buffer, and all of them by the size of the body.
+const (
+	// maxHead is the maximum size in bytes of the status line and the headers.
+	maxHead = 64 << 10
+	// maxHeaderFields is the maximum number of header fields.
+	maxHeaderFields = 256
+	// maxInterim is the maximum number of interim answers (status 1xx) to one request.
+	maxInterim = 8
+	// maxMismatched is the maximum number of answers to other requests that are skipped in one exchange.
+	maxMismatched = 4
+	// maxErrorText is the maximum number of bytes of an invalid answer that an error contains.
+	maxErrorText = 80
+)
+
+// read reads answers until it finds the one to the request. It reports whether the connection may be reused.
+func (p *Pool) read(c *conn, r *Request) (*Response, bool, error) {
+	interim, mismatched := 0, 0
+	for {
+		answer, err := c.readHead(r.Method) //nolint:bodyclose // readBody reads the body to its end or the connection is dropped
+		if err != nil {
+			return nil, false, err
+		}
+		if answer.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				return nil, false, limitExceeded("too many interim answers")
+			}
+			continue
+		}
+		if p.isMismatched(answer, r) {
+			if mismatched++; mismatched > maxMismatched {
+				return nil, false, errors.Wrap(ErrUnknown, "answers to other requests")
+			}
+			if err := c.skipBody(answer, p.options.MaxBody); err != nil {
+				return nil, false, err
+			}
+			continue
+		}
+		body, err := c.readBody(answer, p.options.MaxBody)
+		if err != nil {
+			return nil, false, err
+		}
+		c.updateIdleTime(answer.Header)
+		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Closing: answer.Close}
+		// After one mismatched answer, more may be in flight.
+		return response, mismatched == 0 && !answer.Close && c.reader.Buffered() == 0, nil
+	}
+}
+
+// isMismatched reports whether an answer belongs to another request.
+func (p *Pool) isMismatched(answer *http.Response, r *Request) bool {
+	if p.options.MatchHeader == "" || r.Match == "" {
+		return false
+	}
+	echoed := answer.Header.Get(p.options.MatchHeader)
+	if echoed == "" {
+		// A refusal may lack the header, but a success must identify its request.
+		return answer.StatusCode < http.StatusMultipleChoices
+	}
+	return echoed != r.Match
+}
+
+// readHead reads the status line and the headers of the next answer.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.source.left = maxHead
+	answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, c.readError(err)
+	}
+	c.source.left = math.MaxInt64 // the readers of the body limit it
+	if countFields(answer.Header) > maxHeaderFields {
+		return nil, limitExceeded("too many header fields")
+	}
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errors.Join(ErrUnknown, ErrMalformed, errors.New("switched protocols"))
+	}
+	return answer, nil
+}
+
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
+// readBody reads the complete body of an answer. It does not close the body, which would read the remainder of a body that
+// is too large.
+func (c *conn) readBody(answer *http.Response, limit int64) ([]byte, error) {
+	if answer.ContentLength > limit {
+		return nil, limitExceeded("body too large")
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		return nil, c.readError(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, limitExceeded("body too large")
+	}
+	return body, nil
+}
+
+// skipBody reads the body of an answer to another request.
+func (c *conn) skipBody(answer *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		return c.readError(err)
+	}
+	if n > limit {
+		return limitExceeded("body too large")
+	}
+	return nil
+}
+
+// readError returns the error for an answer that could not be read. It distinguishes an answer that exceeds a limit, one that
+// ended too early, and one that is not valid HTTP.
+func (c *conn) readError(err error) error {
+	switch {
+	case c.source.exceeded:
+		return limitExceeded("head too large")
+	case errors.Is(c.source.err, io.EOF):
+		return errors.Join(ErrUnknown, io.ErrUnexpectedEOF)
+	case c.source.err != nil:
+		return errors.Join(ErrUnknown, c.source.err)
+	default:
+		// The error of net/http may quote the answer.
+		text := err.Error()
+		return errors.Join(ErrUnknown, ErrMalformed, errors.New(text[:min(len(text), maxErrorText)]))
+	}
+}
+
+func limitExceeded(what string) error {
+	return errors.Join(ErrUnknown, ErrTooLarge, errors.New(what))
+}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -22,14 +22,16 @@
 // conn is one connection with its read buffer.
 type conn struct {
 	socket    net.Conn
-	reader    *bufio.Reader
+	source    *source
+	reader    *bufio.Reader // reads from source
 	reused    bool
 	idleSince time.Time
 	idleTime  time.Duration
 }
 
 func newConn(socket net.Conn, idleTime time.Duration) *conn {
-	return &conn{socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), idleTime: idleTime}
+	from := &source{socket: socket}
+	return &conn{socket: socket, source: from, reader: bufio.NewReaderSize(from, readBuffer), idleTime: idleTime}
 }
 
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the peer has
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -38,15 +37,16 @@
 	ErrNotSent = errors.New("request not sent")
 	// ErrUnknown means that at least part of the request was sent, and that its answer did not arrive or is not complete.
 	ErrUnknown = errors.New("answer missing or incomplete")
+	// ErrMalformed is joined to ErrUnknown if the peer sent bytes that are not a valid answer.
+	ErrMalformed = errors.New("answer is not valid HTTP")
+	// ErrTooLarge is joined to ErrUnknown if the answer exceeds a limit, so that it may have no end.
+	ErrTooLarge = errors.New("answer exceeds a limit")
 )
 
 // concurrentWrite is the body size in bytes from which the request is written while the answer is read, because a peer
 // may answer before it has read the complete body.
 const concurrentWrite = 8 << 10
 
-// maxMismatched is the maximum number of answers to earlier requests that are skipped on one connection.
-const maxMismatched = 4
-
 // Do sends a request to an address and returns the complete answer. Its error is ErrNotSent or ErrUnknown. The context
 // bounds the complete exchange.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
@@ -118,55 +118,3 @@
 	b.Write(r.Body)
 	return b.Bytes()
 }
-
-// read reads answers until it finds the one to the request. It reports whether the connection may be reused.
-func (p *Pool) read(c *conn, r *Request) (*Response, bool, error) {
-	clean := true
-	for skipped := 0; skipped <= maxMismatched; {
-		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // readBody closes it
-		if err != nil {
-			return nil, false, errors.Join(ErrUnknown, err)
-		}
-		body, err := readBody(answer, p.options.MaxBody)
-		if err != nil {
-			return nil, false, errors.Join(ErrUnknown, err)
-		}
-		if answer.StatusCode < http.StatusOK {
-			continue
-		}
-		if p.isMismatched(answer, r) {
-			clean = false // more mismatched answers may be in flight
-			skipped++
-			continue
-		}
-		c.updateIdleTime(answer.Header)
-		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Closing: answer.Close}
-		return response, clean && !answer.Close && c.reader.Buffered() == 0, nil
-	}
-	return nil, false, errors.Wrap(ErrUnknown, "answers to other requests")
-}
-
-// isMismatched reports whether an answer belongs to another request.
-func (p *Pool) isMismatched(answer *http.Response, r *Request) bool {
-	if p.options.MatchHeader == "" || r.Match == "" {
-		return false
-	}
-	echoed := answer.Header.Get(p.options.MatchHeader)
-	if echoed == "" {
-		// A refusal may lack the header, but a success must identify its request.
-		return answer.StatusCode < http.StatusMultipleChoices
-	}
-	return echoed != r.Match
-}
-
-func readBody(answer *http.Response, limit int64) ([]byte, error) {
-	defer func() { _ = answer.Body.Close() }() // the body has been read, or the connection is dropped
-	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errors.New("answer too large")
-	}
-	return body, nil
-}
--- /dev/null
+++ b/internal/h1/source.go
@@ -0,0 +1,33 @@
+package h1
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+)
+
+// errNoBytesLeft is returned by a source whose limit has been reached.
+var errNoBytesLeft = errors.New("limit of an answer reached")
+
+// source reads a socket up to a limit. It remembers whether reading ended at the limit or with an error of the socket, since
+// the parser of net/http reports both as errors of its own.
+type source struct {
+	socket   net.Conn
+	left     int64 // bytes that may still be read
+	exceeded bool
+	err      error
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if s.left <= 0 {
+		s.exceeded = true
+		return 0, errNoBytesLeft
+	}
+	n, err := s.socket.Read(p[:min(int64(len(p)), s.left)])
+	s.left -= int64(n)
+	if err != nil {
+		s.err = err
+	}
+	return n, err
+}
