Accept only answers that name their request

Reported by other operators: an endpoint wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" for requests that had run or were running (REFUSED), or such a request ran at a second endpoint (TWICE). Cause: internal/h1 accepted an answer without the echoed request id if its status was 300 or more, as a refusal "may lack the header". The platform's backends always echo it. A command's answer, which has no id, could also be taken for that of a request, and the answer to a request for that of a command, since commands accepted any answer. Change: an answer is taken only if its id is that of the request, once; a request without an id, which commands are, takes only an answer without one. Others are skipped, and if none follows, the outcome is unknown: an order is not sent again. The peer of the tests of internal/h1 serves its connections concurrently, which a test of two open connections needs.

--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -57,17 +57,17 @@
 	}
 }
 
-// isMismatched reports whether an answer belongs to another request.
+// isMismatched reports whether an answer belongs to another request. An answer that names no request may be one, too: an earlier
+// refusal that is taken for the answer would report a request as not run that runs.
 func (p *Pool) isMismatched(answer *http.Response, r *Request) bool {
-	if p.options.MatchHeader == "" || r.Match == "" {
+	if p.options.MatchHeader == "" {
 		return false
 	}
-	echoed := answer.Header.Get(p.options.MatchHeader)
-	if echoed == "" {
-		// A refusal may lack the header, but a success must identify its request.
-		return answer.StatusCode < http.StatusMultipleChoices
+	echoed := answer.Header.Values(p.options.MatchHeader)
+	if len(echoed) == 0 {
+		return r.Match != ""
 	}
-	return echoed != r.Match
+	return len(echoed) > 1 || echoed[0] != r.Match
 }
 
 // readHead reads the status line and the headers of the next answer.
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -18,7 +18,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Match is the value of the match header that the answer must echo. If it is empty, any answer is accepted.
+	// Match is the value of the match header that the answer must echo. If it is empty, the answer must not have the header.
 	Match string
 }
 
--- a/internal/h1/exchange_test.go
+++ b/internal/h1/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,26 +27,28 @@
 	conns   atomic.Int64
 }
 
-// newPeer serves each connection with the given function. Its first argument is the number of the connection, from 1.
+// newPeer serves each connection with the given function, concurrently. Its first argument is the number of the connection,
+// from 1.
 func newPeer(t *testing.T, serve func(n int64, c net.Conn, r *bufio.Reader)) *peer {
 	t.Helper()
 	socket, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &peer{address: socket.Addr().String()}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
+	var running sync.WaitGroup
+	running.Go(func() {
 		for {
 			c, err := socket.Accept()
 			if err != nil {
 				return
 			}
 			n := p.conns.Add(1)
-			serve(n, c, bufio.NewReader(c))
-			_ = c.Close()
+			running.Go(func() {
+				serve(n, c, bufio.NewReader(c))
+				_ = c.Close()
+			})
 		}
-	}()
-	t.Cleanup(func() { _ = socket.Close(); <-done })
+	})
+	t.Cleanup(func() { _ = socket.Close(); running.Wait() })
 	return p
 }
 
