Send no request again on the connection that refused it

Cause: the attempts of one call have the same request id. After a 421 the router sends the call to the owner of its key again, on the kept connection if there is one; a repetition of the first attempt's refusal then matches the second attempt. Change: a connection remembers the requests that were refused or failed on it and does not carry them again; other requests use it. After 32 of them it is not reused, which bounds its memory. A new connection is opened only if no other idle one is there. Not covered: a refusal that is repeated on another connection, which nothing tells from an answer; a service that is not partitioned gets no second attempt at the same backend.

--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -53,7 +53,8 @@
 		c.updateIdleTime(answer.Header)
 		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Closing: answer.Close}
 		// After one mismatched answer, more may be in flight.
-		return response, mismatched == 0 && !answer.Close && c.reader.Buffered() == 0, nil
+		reusable := mismatched == 0 && !answer.Close && c.reader.Buffered() == 0
+		return response, reusable && c.recordAnswer(r.Match, answer.StatusCode), nil
 	}
 }
 
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -19,6 +19,9 @@
 // because a request that is sent while the peer closes the connection may have run.
 const idleFraction = 0.6
 
+// maxFailed is the number of failed requests after which a connection is not reused.
+const maxFailed = 32
+
 // conn is one connection with its read buffer.
 type conn struct {
 	socket    net.Conn
@@ -27,6 +30,9 @@
 	reused    bool
 	idleSince time.Time
 	idleTime  time.Duration
+	// failed contains the match values of the requests that were refused or failed on this connection. They may be sent again,
+	// but not on this connection, where the earlier answer could be repeated and would match.
+	failed []string
 }
 
 func newConn(socket net.Conn, idleTime time.Duration) *conn {
@@ -34,6 +40,14 @@
 	return &conn{socket: socket, source: from, reader: bufio.NewReaderSize(from, readBuffer), idleTime: idleTime}
 }
 
+// recordAnswer records the answer to a request. It returns false if the connection must not be reused.
+func (c *conn) recordAnswer(match string, status int) bool {
+	if match != "" && status >= http.StatusMultipleChoices {
+		c.failed = append(c.failed, match)
+	}
+	return len(c.failed) < maxFailed
+}
+
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the peer has
 // neither closed it nor sent data that belongs to no request.
 func (c *conn) usable() bool {
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -50,7 +50,7 @@
 // Do sends a request to an address and returns the complete answer. Its error is ErrNotSent or ErrUnknown. The context
 // bounds the complete exchange.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.take(ctx, address)
+	c, err := p.take(ctx, address, r.Match)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
--- a/internal/h1/mismatch_test.go
+++ b/internal/h1/mismatch_test.go
@@ -63,3 +63,29 @@
 		require.Equal(t, "third", string(got.Body), "%s: a connection with a repeated refusal must not be reused", name)
 	}
 }
+
+// Guards against taking a repeated refusal for the answer to the next attempt of the same request, which runs.
+func TestNextAttemptDoesNotGetTheRefusalOfTheFirst(t *testing.T) {
+	p := newPeer(t, func(n int64, c net.Conn, r *bufio.Reader) {
+		for id := request(r); id != ""; id = request(r) {
+			switch {
+			case n > 1:
+				_, _ = io.WriteString(c, answer(id, "ran"))
+			case id == "one": // at the second attempt, this is the first one's refusal once more
+				_, _ = io.WriteString(c, refusal(id))
+			default:
+				_, _ = io.WriteString(c, answer(id, "between"))
+			}
+		}
+	})
+	pool := newPool(t)
+	got, err := do(t, pool, p.address, "one", "order")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, got.Status)
+	got, err = do(t, pool, p.address, "two", "order")
+	require.NoError(t, err)
+	require.Equal(t, "between", string(got.Body), "other requests use the connection")
+	got, err = do(t, pool, p.address, "one", "order")
+	require.NoError(t, err)
+	require.Equal(t, "ran", string(got.Body))
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -79,10 +80,11 @@
 	return p.opened
 }
 
-// take returns an idle connection that is still usable, or opens a new one.
-func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+// take returns an idle connection that is still usable and on which the request with this match value has not failed, or opens
+// a new one.
+func (p *Pool) take(ctx context.Context, address, match string) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, match)
 		if c == nil {
 			return p.open(ctx, address)
 		}
@@ -94,16 +96,17 @@
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+func (p *Pool) pop(address, match string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if match == "" || !slices.Contains(c.failed, match) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
