Take no data that precedes a request for its answer

Reported by other operators: an earlier refusal written once more was taken for an answer. Cause: only idle connections were checked for unread data before a request. Data on a new connection, sent before any request, was read as the answer. Shown: TestDataBeforeTheRequestIsNotItsAnswer (the peer writes a refusal with the request's id when it accepts the connection): Expected error with "request not sent" in chain but got nil. Change: a new connection with unread data, or one that the peer has closed already, is reset and the request is not sent. Data that arrives between this check and the write is still possible and is told apart by its request id only. The field that said whether a connection is reused had no reader and is removed.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -27,7 +27,6 @@
 	socket    net.Conn
 	source    *source
 	reader    *bufio.Reader // reads from source
-	reused    bool
 	idleSince time.Time
 	idleTime  time.Duration
 	// failed contains the match values of the requests that were refused or failed on this connection. They may be sent again,
@@ -51,7 +50,12 @@
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the peer has
 // neither closed it nor sent data that belongs to no request.
 func (c *conn) usable() bool {
-	if time.Since(c.idleSince) >= c.idleTime || c.reader.Buffered() > 0 {
+	return time.Since(c.idleSince) < c.idleTime && c.quiet()
+}
+
+// quiet reports whether the connection is open and has no unread data. Data that precedes a request cannot answer it.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
 	syscallConn, ok := c.socket.(syscall.Conn)
--- a/internal/h1/mismatch_test.go
+++ b/internal/h1/mismatch_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -89,3 +91,24 @@
 	require.NoError(t, err)
 	require.Equal(t, "ran", string(got.Body))
 }
+
+// Guards against taking data that arrived before the request was sent for its answer.
+func TestDataBeforeTheRequestIsNotItsAnswer(t *testing.T) {
+	received := make(chan string, 1)
+	p := newPeer(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, refusal("one"))
+		received <- request(r)
+	})
+	dial := func(ctx context.Context, kind, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, kind, address)
+		time.Sleep(50 * time.Millisecond) // the data of the peer arrives
+		return c, err
+	}
+	pool := h1.NewPool(h1.Options{
+		Dial: dial, DialTimeout: time.Second, MaxIdle: 2, IdleTime: time.Minute, MatchHeader: "Id", MaxBody: 1 << 20,
+	})
+	defer pool.Close()
+	_, err := do(t, pool, p.address, "one", "order")
+	require.ErrorIs(t, err, h1.ErrNotSent)
+	require.Empty(t, <-received)
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/pollenpier/pollenpier/internal/network"
@@ -80,6 +81,9 @@
 	return p.opened
 }
 
+// errUnsolicited means that the peer sent data on a new connection before it received a request, or closed it.
+var errUnsolicited = errors.New("new connection is closed or has data that belongs to no request")
+
 // take returns an idle connection that is still usable and on which the request with this match value has not failed, or opens
 // a new one.
 func (p *Pool) take(ctx context.Context, address, match string) (*conn, error) {
@@ -89,7 +93,6 @@
 			return p.open(ctx, address)
 		}
 		if c.usable() {
-			c.reused = true
 			return c, nil
 		}
 		c.abort()
@@ -117,7 +120,12 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(socket, p.options.IdleTime), nil
+	c := newConn(socket, p.options.IdleTime)
+	if !c.quiet() {
+		c.abort()
+		return nil, errUnsolicited
+	}
+	return c, nil
 }
 
 // put stores a connection for reuse, or closes it if the pool is closed or has enough idle connections.
