--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -54,7 +54,10 @@
 		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Closing: answer.Close}
 		// After one mismatched answer, more may be in flight.
 		reusable := mismatched == 0 && !answer.Close && c.reader.Buffered() == 0
-		return response, reusable && c.recordAnswer(r.Match, answer.StatusCode), nil
+		if p.options.MatchHeader != "" && !c.recordAnswer(r.Match, answer.StatusCode) {
+			reusable = false
+		}
+		return response, reusable, nil
 	}
 }
 
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -39,12 +39,14 @@
 	return &conn{socket: socket, source: from, reader: bufio.NewReaderSize(from, readBuffer), idleTime: idleTime}
 }
 
-// recordAnswer records the answer to a request. It returns false if the connection must not be reused.
+// recordAnswer records the answer to a request whose answers have the match header. It returns false if the connection must
+// not be reused: a repeated refusal of a request without a match value could not be told from the answer to the next one.
 func (c *conn) recordAnswer(match string, status int) bool {
-	if match != "" && status >= http.StatusMultipleChoices {
-		c.failed = append(c.failed, match)
+	if status < http.StatusMultipleChoices {
+		return true
 	}
-	return len(c.failed) < maxFailed
+	c.failed = append(c.failed, match)
+	return match != "" && len(c.failed) < maxFailed
 }
 
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the peer has
--- a/internal/h1/mismatch_test.go
+++ b/internal/h1/mismatch_test.go
@@ -92,6 +92,25 @@
 	require.Equal(t, "ran", string(got.Body))
 }
 
+// Guards against taking a repeated refusal of a command, which has no id, for the answer to the next command.
+func TestConnectionOfARefusedCommandIsNotReused(t *testing.T) {
+	p := newPeer(t, func(n int64, c net.Conn, r *bufio.Reader) {
+		for _, err := http.ReadRequest(r); err == nil; _, err = http.ReadRequest(r) {
+			if n == 1 {
+				_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	pool := newPool(t)
+	for _, want := range []int{http.StatusMisdirectedRequest, http.StatusOK} {
+		got, err := pool.Do(t.Context(), p.address, &h1.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
+		require.NoError(t, err)
+		require.Equal(t, want, got.Status)
+	}
+}
+
 // Guards against taking data that arrived before the request was sent for its answer.
 func TestDataBeforeTheRequestIsNotItsAnswer(t *testing.T) {
 	received := make(chan string, 1)
