Limit the memory of answers that are being read

Reported by other operators: bytes that are no answer may come without end in a body, until the caller closes. Cause: each answer of a backend was buffered up to 64 MiB, with no limit on their sum. Instances have less than 200 MB. Change: the body of one answer has at most 16 MiB, and the buffers of all answers that are being read 32 MiB together; the first 16 KiB of each do not count, so that small answers pass beside endless ones. Buffers grow with the data that arrives, not to the length that an answer states. Beyond a limit the connection is reset and the outcome is unknown: the caller of an order gets 502, a lookup is retried. Not covered: a complete answer that its caller reads slowly, which the frontend holds until it is written.

--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -19,6 +19,8 @@
 	maxInterim = 8
 	// maxMismatched is the maximum number of answers to other requests that are skipped in one exchange.
 	maxMismatched = 4
+	// firstBuffer is the size in bytes of the first buffer of a body.
+	firstBuffer = 1 << 10
 	// maxErrorText is the maximum number of bytes of an invalid answer that an error contains.
 	maxErrorText = 80
 )
@@ -46,7 +48,7 @@
 			}
 			continue
 		}
-		body, err := c.readBody(answer, p.options.MaxBody)
+		body, err := p.readBody(c, answer)
 		if err != nil {
 			return nil, false, err
 		}
@@ -99,20 +101,45 @@
 	return n
 }
 
-// readBody reads the complete body of an answer. It does not close the body, which would read the remainder of a body that
-// is too large.
-func (c *conn) readBody(answer *http.Response, limit int64) ([]byte, error) {
-	if answer.ContentLength > limit {
+// readBody reads the complete body of an answer. Its buffer grows with the data that arrives and counts toward the pool's
+// limit of buffered data until the body is complete. It does not close the body, which would read the remainder of a body that is
+// too large.
+func (p *Pool) readBody(c *conn, answer *http.Response) ([]byte, error) {
+	if answer.ContentLength > p.options.MaxBody {
 		return nil, limitExceeded("body too large")
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
-	if err != nil {
-		return nil, c.readError(err)
+	share := p.buffered.newShare()
+	defer share.release()
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := nextSize(cap(body), answer.ContentLength, p.options.MaxBody)
+			if !share.grow(size) {
+				return nil, limitExceeded("too much data of all answers buffered")
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := answer.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > p.options.MaxBody:
+			return nil, limitExceeded("body too large")
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, c.readError(err)
+		}
 	}
-	if int64(len(body)) > limit {
-		return nil, limitExceeded("body too large")
+}
+
+// nextSize returns the next capacity in bytes of a body's buffer: twice the present one, but not more than the body's length if
+// it is known, which is -1 otherwise, and at most one byte more than the limit.
+func nextSize(present int, length, limit int64) int {
+	size := min(int64(max(2*present, firstBuffer)), limit+1)
+	if int64(present) < length {
+		size = min(size, length)
 	}
-	return body, nil
+	return int(size)
 }
 
 // skipBody reads the body of an answer to another request.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -36,12 +36,16 @@
 	MatchHeader string
 	// MaxBody is the maximum size of an answer's body in bytes.
 	MaxBody int64
+	// MaxBuffered is the maximum size in bytes of the buffers of all answers that are being read. Zero means no limit. The first
+	// 16 KiB of each answer do not count.
+	MaxBuffered int64
 }
 
 // Pool sends requests and keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	options Options
-	dial    network.DialFunc
+	options  Options
+	dial     network.DialFunc
+	buffered buffered
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -56,7 +60,9 @@
 		dialer := &net.Dialer{Control: setUserTimeout(o.UserTimeout), KeepAlive: -1}
 		dial = dialer.DialContext
 	}
-	return &Pool{options: o, dial: dial.WithTimeout(o.DialTimeout), idle: map[string][]*conn{}}
+	return &Pool{
+		options: o, dial: dial.WithTimeout(o.DialTimeout), buffered: buffered{limit: o.MaxBuffered}, idle: map[string][]*conn{},
+	}
 }
 
 // setUserTimeout returns a dialer control function that sets how long sent data may stay unacknowledged. Without it, a
