Limit the answers that the backend client reads

Reported by other operators: bytes that are no answer may come without end, in a head or a body, until the caller closes. Cause: the transport read up to 10 MiB of a head on each of up to 130 connections; its error quoted a line that is not HTTP, into the log; and a control answer was cut at 64 KiB without an error, so that a revocation counted as acknowledged by a body without an end, which docs/protocols.md excludes ("a truncated answer says nothing"). Bodies of requests were streamed before and need no limit of memory; they end with the deadline. TestAnswerCutInItsHeadIsBroken guards against a refusal cut in its head; it passed before.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/network"
 )
@@ -24,6 +26,12 @@
 // idle connections: a request sent while the server closes its connection has an unknown outcome.
 const idleTimeout = 30 * time.Second
 
+// maxHeadBytes is the maximum size in bytes of the status line and the headers of an answer, together with its interim answers.
+const maxHeadBytes = 64 << 10
+
+// maxErrorText is the maximum number of bytes of an error of net/http, which may quote an invalid answer, in a failure.
+const maxErrorText = 200
+
 // ClientSettings configures an HTTPClient.
 type ClientSettings struct {
 	// DialTimeout is the maximum time to connect. Default 250ms.
@@ -137,7 +145,17 @@
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+}
+
+// shortened returns err, or its beginning if its text is too long.
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errors.New(text[:maxErrorText])
 	}
+	return err
 }
 
 // Do sends a request at most once. The request body may be read until the answer's body is closed, so ctx must stay valid
@@ -154,7 +172,7 @@
 	t := c.transportsFor(target)
 	resp, err := t.requests.RoundTrip(req)
 	if err != nil {
-		return nil, &Failure{Kind: tracker.failureKind(), Cause: err}
+		return nil, &Failure{Kind: tracker.failureKind(), Cause: shortened(err)}
 	}
 	answer, failure := readAnswer(resp, call)
 	if failure == nil {
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -101,12 +101,15 @@
 	preventReplay(req)
 	resp, err := c.transportsFor(target).control.RoundTrip(req)
 	if err != nil {
-		return errors.Join(ErrUnreachable, err)
+		return errors.Join(ErrUnreachable, shortened(err))
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read, or the connection is dropped
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes+1))
 	if err != nil {
-		return errors.Join(ErrUnreachable, err)
+		return errors.Join(ErrUnreachable, shortened(err))
+	}
+	if len(data) > maxControlBytes {
+		return errors.Wrap(ErrUnreachable, "control answer too large")
 	}
 	if resp.StatusCode != http.StatusOK {
 		return controlError(resp.StatusCode, data)
