Limit the answers that the platform client reads

Cause: as in the backend client, a head of up to 10 MiB, and errors that quoted an invalid answer or a refusal of any length. Shown: TestAnswerWithoutEndIsUnavailable/header_line: "" is not less than "" (bytes); long_refusal: "4066" is not less than or equal to "600" (bytes of the error) Change: 64 KiB for a head with its interim answers, and 200 bytes of a quoted text.

--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -31,6 +31,9 @@
 // encoded in base64, needs 86 MiB.
 const maxAnswerBytes = 128 << 20
 
+// maxHeadBytes is the maximum size in bytes of the status line and the headers of an answer, together with its interim answers.
+const maxHeadBytes = 64 << 10
+
 // ClientSettings configures an HTTPClient.
 type ClientSettings struct {
 	// Addresses are the platform's addresses, host:port. At least one is required.
@@ -82,6 +85,8 @@
 		DialContext:         s.Dial.WithTimeout(s.DialTimeout),
 		MaxIdleConnsPerHost: 8, // two long polls, an append to each stream, the list, and spare ones for bursts
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &HTTPClient{settings: s, client: &http.Client{Transport: transport}}, nil
 }
@@ -233,6 +238,9 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
+		if text := err.Error(); len(text) > maxErrorText { // net/http may quote an invalid answer
+			err = errors.New(text[:maxErrorText])
+		}
 		if !connected {
 			err = errors.Join(errNotSent, err)
 		}
--- a/internal/platformapi/decode.go
+++ b/internal/platformapi/decode.go
@@ -10,7 +10,7 @@
 	"github.com/pollenpier/pollenpier/internal/platformapi/wire"
 )
 
-// maxErrorText is the maximum number of bytes of a refusal's text that an error contains.
+// maxErrorText is the maximum number of bytes of a refusal's text, or of an invalid answer, that an error contains.
 const maxErrorText = 200
 
 // decodeJSON decodes a JSON answer with status 200. Any other answer violates the protocol and is ErrUnavailable.
@@ -57,7 +57,7 @@
 func errorText(data []byte) string {
 	var body wire.Error
 	if json.Unmarshal(data, &body) == nil && body.Error != "" {
-		return body.Error
+		return body.Error[:min(len(body.Error), maxErrorText)]
 	}
 	return string(data[:min(len(data), maxErrorText)])
 }
