Take a refusal without a request id only as the first answer of a connection

Reported by other operators: an endpoint wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" for requests that had run or were running. Cause: in the product's own protocol the echo of the request id is optional, and a refusal without it was taken as the answer on any connection. Shown: TestRepeatedRefusalIsNotTheAnswerToAnotherRequest/without_an_id: expected 0x5 (mismatch), actual 0x2 (shed). Change: on a connection that has carried requests before, a refusal without an id is a mismatch: the request may have run. Not covered: a refusal with the id of the same request, repeated at its next attempt on the same connection. Only idempotent requests get one from dispatch; a fenced request that the gateway routes to the same backend again could be reported as not run while it runs. Result: internal/backend passes with -race.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -18,15 +18,16 @@
 var (
 	errNoEnd             = errors.New("answer has neither a length nor an end marker")
 	errSwitchedProtocols = errors.New("backend switched protocols")
+	errUnidentified      = errors.New("a refusal without a request id may answer an earlier request of the connection")
 )
 
 // maxDrain is the size in bytes up to which the body of a refusal is read, so that its connection can be reused.
 const maxDrain = 4096
 
 // readAnswer returns the answer in a response, or the failure that the response means. It closes the body after a
-// failure.
-func readAnswer(resp *http.Response, call *Call) (*Answer, *Failure) {
-	if failure := classify(resp, call); failure != nil {
+// failure. reused is true if the connection has carried other requests.
+func readAnswer(resp *http.Response, call *Call, reused bool) (*Answer, *Failure) {
+	if failure := classify(resp, call, reused); failure != nil {
 		if resp.ContentLength >= 0 && resp.ContentLength <= maxDrain {
 			_, _ = io.Copy(io.Discard, resp.Body) // on an error the connection is dropped
 		}
@@ -45,7 +46,7 @@
 
 // classify returns the failure that a response declares, or nil if the response is an answer. The request id is compared
 // first, because a response to another request says nothing about this one.
-func classify(resp *http.Response, call *Call) *Failure {
+func classify(resp *http.Response, call *Call, reused bool) *Failure {
 	echoedID := resp.Header.Get(wire.HeaderRequestID)
 	if echoedID != "" && echoedID != call.RequestID {
 		return &Failure{Kind: FailureMismatch, Cause: errors.Errorf("it answers request %q", echoedID)}
@@ -53,7 +54,11 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return &Failure{Kind: FailureBroken, Cause: errSwitchedProtocols}
 	}
-	switch refusal := resp.Header.Get(wire.HeaderNotRun); refusal {
+	refusal := resp.Header.Get(wire.HeaderNotRun)
+	if refusal != "" && echoedID == "" && reused {
+		return &Failure{Kind: FailureMismatch, Cause: errUnidentified}
+	}
+	switch refusal {
 	case wire.RefusalShed, wire.RefusalDraining:
 		return &Failure{Kind: FailureShed, Cause: errors.Errorf("status %d, %s", resp.StatusCode, refusal)}
 	case wire.RefusalFenced:
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, &Failure{Kind: tracker.failureKind(), Cause: shortened(err)}
 	}
-	answer, failure := readAnswer(resp, call)
+	answer, failure := readAnswer(resp, call, tracker.reused.Load())
 	if failure == nil {
 		return answer, nil
 	}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -141,6 +141,35 @@
 	}
 }
 
+// Guards against reporting a request as not run because an earlier refusal was repeated on its connection.
+func TestRepeatedRefusalIsNotTheAnswerToAnotherRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\nPollenpier-Not-Run: shed\r\n"
+	for name, c := range map[string]struct {
+		second string
+		want   backend.FailureKind
+	}{
+		"without an id":      {refusal + "\r\n", backend.FailureMismatch},
+		"with an earlier id": {refusal + "Pollenpier-Request-Id: r0\r\n\r\n", backend.FailureMismatch},
+		"with its own id":    {refusal + "Pollenpier-Request-Id: r1\r\n\r\n", backend.FailureShed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := rawServer(t, func(_ *http.Request, nth int) string {
+				if nth == 1 {
+					return refusal + "\r\n"
+				}
+				return c.second
+			})
+			client := newClient(t, 4)
+			first := newCall(http.MethodPost, "body")
+			first.RequestID = "r0"
+			_, err := client.Do(context.Background(), target, first)
+			requireKind(t, backend.FailureShed, err)
+			_, err = client.Do(context.Background(), target, newCall(http.MethodPost, "body"))
+			requireKind(t, c.want, err)
+		})
+	}
+}
+
 // Guards against treating a status as "not run" although the header that declares it is missing.
 func TestStatusAloneIsAnAnswer(t *testing.T) {
 	target := rawServer(t, func(*http.Request, int) string {
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -27,13 +27,16 @@
 // replayHeaders make net/http retry a request of any method on another connection.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
-// connectionTracker records whether a request obtained a connection. Before that, no byte of the request can have been
-// sent.
-type connectionTracker struct{ obtained atomic.Bool }
+// connectionTracker records whether a request obtained a connection, and whether that carried other requests before. No byte of
+// the request can have been sent before it obtained one.
+type connectionTracker struct{ obtained, reused atomic.Bool }
 
 func (t *connectionTracker) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.obtained.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.obtained.Store(true)
+			t.reused.Store(info.Reused)
+		},
 	})
 }
 
