Give control requests an id that their answers echo

Reported by other operators: an endpoint wrote an earlier answer once more on a kept connection. Cause: control requests of the product's own protocol had no id. A repeated answer to a grant was taken as the acknowledgement of a revocation, after which another backend is granted partitions that are still served. Change: control requests carry Pollenpier-Request-Id. An answer with another id is no answer; one without an id counts only as the first on its connection, which is then closed, so that backends without the echo work with a connection for each control request.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,6 +47,7 @@
 // concurrent use.
 type HTTPClient struct {
 	settings ClientSettings
+	controls atomic.Uint64 // number of control requests, from which their ids are made
 
 	mu         sync.Mutex
 	limits     map[entity.BackendID]int
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -82,6 +83,11 @@
 	return encoded
 }
 
+// controlID returns a new id for a control request.
+func (c *HTTPClient) controlID() string {
+	return "control-" + strconv.FormatUint(c.controls.Add(1), 10)
+}
+
 // control sends one control request and decodes the response into answer unless answer is nil.
 func (c *HTTPClient) control(ctx context.Context, target Target, method, path string, body, answer any) error {
 	var encoded []byte
@@ -91,15 +97,18 @@
 			return errors.Wrap(err, "encode control request")
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+target.Address+path, bytes.NewReader(encoded))
+	tracker, id := new(connectionTracker), c.controlID()
+	req, err := http.NewRequestWithContext(tracker.trace(ctx), method, "http://"+target.Address+path, bytes.NewReader(encoded))
 	if err != nil {
 		return errors.Wrap(err, "create control request")
 	}
+	req.Header.Set(wire.HeaderRequestID, id)
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	preventReplay(req)
-	resp, err := c.transportsFor(target).control.RoundTrip(req)
+	transport := c.transportsFor(target).control
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Join(ErrUnreachable, shortened(err))
 	}
@@ -111,6 +120,13 @@
 	if len(data) > maxControlBytes {
 		return errors.Wrap(ErrUnreachable, "control answer too large")
 	}
+	if echoedID := resp.Header.Get(wire.HeaderRequestID); echoedID != id {
+		// The next answer on this connection cannot be told from a repetition of this one.
+		transport.CloseIdleConnections()
+		if echoedID != "" || tracker.reused.Load() {
+			return errors.Wrapf(ErrUnreachable, "control answer with the request id %q", echoedID[:min(len(echoedID), maxErrorText)])
+		}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return controlError(resp.StatusCode, data)
 	}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -158,14 +158,20 @@
 	engine.PUT(PathFaults, s.putFaults)
 	engine.GET(PathFaults, func(c *gin.Context) { c.JSON(http.StatusOK, s.currentFaults()) })
 	engine.GET(PathExecutions, s.getExecutions)
-	engine.PUT(wire.PathSession, p.putSession)
-	engine.PUT(wire.PathGrants, p.putGrants)
-	engine.GET(wire.PathHealth, p.getHealth)
-	engine.GET(wire.PathLoad, p.getLoad)
+	control := engine.Group("", echoControlID)
+	control.PUT(wire.PathSession, p.putSession)
+	control.PUT(wire.PathGrants, p.putGrants)
+	control.GET(wire.PathHealth, p.getHealth)
+	control.GET(wire.PathLoad, p.getLoad)
 	engine.NoRoute(p.serveRequest)
 	return engine
 }
 
+// echoControlID echoes the id of a control request.
+func echoControlID(c *gin.Context) {
+	c.Header(wire.HeaderRequestID, c.Request.Header.Get(wire.HeaderRequestID))
+}
+
 func (s *Server) putFaults(c *gin.Context) {
 	var f Faults
 	if err := c.ShouldBindJSON(&f); err != nil {
