Report answers to other requests apart from lost connections

Cause: an exchange that found only answers to other requests ended as "broken", as after a reset, so that the log and the metrics did not tell a faulty backend from a lost connection, and it counted as evidence that the request had crashed the backend.

--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -27,7 +27,20 @@
 
 // read reads answers until it finds the one to the request. It reports whether the connection may be reused.
 func (p *Pool) read(c *conn, r *Request) (*Response, bool, error) {
-	interim, mismatched := 0, 0
+	skipped := 0
+	response, reusable, err := p.readMatching(c, r, &skipped)
+	if skipped > 0 {
+		p.skipped.Add(int64(skipped))
+		if err != nil {
+			err = errors.Join(err, ErrMismatched)
+		}
+	}
+	return response, reusable && skipped == 0, err // after one mismatched answer, more may be in flight
+}
+
+// readMatching reads answers until it finds the one to the request, and counts those to other requests.
+func (p *Pool) readMatching(c *conn, r *Request, skipped *int) (*Response, bool, error) {
+	interim := 0
 	for {
 		answer, err := c.readHead(r.Method) //nolint:bodyclose // readBody reads the body to its end or the connection is dropped
 		if err != nil {
@@ -40,8 +53,8 @@
 			continue
 		}
 		if p.isMismatched(answer, r) {
-			if mismatched++; mismatched > maxMismatched {
-				return nil, false, errors.Wrap(ErrUnknown, "answers to other requests")
+			if *skipped++; *skipped > maxMismatched {
+				return nil, false, ErrUnknown
 			}
 			if err := c.skipBody(answer, p.options.MaxBody); err != nil {
 				return nil, false, err
@@ -54,8 +67,7 @@
 		}
 		c.updateIdleTime(answer.Header)
 		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Closing: answer.Close}
-		// After one mismatched answer, more may be in flight.
-		reusable := mismatched == 0 && !answer.Close && c.reader.Buffered() == 0
+		reusable := !answer.Close && c.reader.Buffered() == 0
 		if p.options.MatchHeader != "" && !c.recordAnswer(r.Match, answer.StatusCode) {
 			reusable = false
 		}
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -39,6 +39,8 @@
 	ErrUnknown = errors.New("answer missing or incomplete")
 	// ErrMalformed is joined to ErrUnknown if the peer sent bytes that are not a valid answer.
 	ErrMalformed = errors.New("answer is not valid HTTP")
+	// ErrMismatched is joined to ErrUnknown if the peer sent answers to other requests instead.
+	ErrMismatched = errors.New("answers to other requests")
 	// ErrTooLarge is joined to ErrUnknown if the answer exceeds a limit, so that it may have no end.
 	ErrTooLarge = errors.New("answer exceeds a limit")
 )
--- a/internal/h1/mismatch_test.go
+++ b/internal/h1/mismatch_test.go
@@ -31,6 +31,7 @@
 			})
 			_, err := do(t, newPool(t), p.address, "one", "order")
 			require.ErrorIs(t, err, h1.ErrUnknown, "%d, %s", status, name)
+			require.ErrorIs(t, err, h1.ErrMismatched, "%d, %s", status, name)
 		}
 	}
 }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,7 @@
 	options  Options
 	dial     network.DialFunc
 	buffered buffered
+	skipped  atomic.Int64
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -87,6 +89,9 @@
 	return p.opened
 }
 
+// Skipped returns the number of answers to other requests that were skipped so far.
+func (p *Pool) Skipped() int64 { return p.skipped.Load() }
+
 // errUnsolicited means that the peer sent data on a new connection before it received a request, or closed it.
 var errUnsolicited = errors.New("new connection is closed or has data that belongs to no request")
 
