--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// Guards against reporting a fenced request as not run at its next attempt, which runs, because its refusal was repeated.
+func TestFencedRequestIsNotSentAgainOnItsConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Unavailable\r\nPollenpier-Request-Id: r1\r\nPollenpier-Not-Run: fenced\r\nContent-Length: %d\r\n\r\n%s"
+	for _, body := range []string{"", "refused"} {
+		var requests atomic.Int32
+		target := rawServer(t, func(_ *http.Request, nth int) string {
+			if requests.Add(1) == 1 || nth > 1 {
+				return fmt.Sprintf(refusal, len(body), body)
+			}
+			return "HTTP/1.1 204 OK\r\nPollenpier-Request-Id: r1\r\n\r\n"
+		})
+		client := newClient(t, 4)
+		_, err := client.Do(context.Background(), target, newCall(http.MethodPost, "body"))
+		requireKind(t, backend.FailureFenced, err)
+		answer, err := client.Do(context.Background(), target, newCall(http.MethodPost, "body"))
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		require.Equal(t, http.StatusNoContent, answer.Status)
+	}
+}
+
 // Guards against treating a status as "not run" although the header that declares it is missing.
 func TestStatusAloneIsAnAnswer(t *testing.T) {
 	target := rawServer(t, func(*http.Request, int) string {
