Read no body of an answer to HEAD

An answer to HEAD with more than 16 MiB stated ended as unknown. Shown: TestAnswerToHeadHasNoBody: "answer exceeds a limit: body too large". Change: an answer without a body is returned before its length is looked at.

--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -117,6 +117,9 @@
 // limit of buffered data until the body is complete. It does not close the body, which would read the remainder of a body that is
 // too large.
 func (p *Pool) readBody(c *conn, answer *http.Response) ([]byte, error) {
+	if answer.Body == http.NoBody {
+		return nil, nil // the length of an answer to HEAD is that of another answer
+	}
 	if answer.ContentLength > p.options.MaxBody {
 		return nil, limitExceeded("body too large")
 	}
--- a/internal/h1/limits_test.go
+++ b/internal/h1/limits_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +87,21 @@
 	require.NoError(t, err)
 	require.Equal(t, "whole", string(got.Body))
 }
+
+// Guards against an answer to HEAD that counts as too large, or waits for a body, because of the length that it states.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	p := newPeer(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+		for id := request(r); id != ""; id = request(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 99999999999\r\n\r\n")
+		}
+	})
+	pool := newPool(t)
+	for range 2 {
+		got, err := pool.Do(t.Context(), p.address, &h1.Request{
+			Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"one"}}, Match: "one",
+		})
+		require.NoError(t, err)
+		require.Empty(t, got.Body)
+	}
+	require.Equal(t, int64(1), p.conns.Load())
+}
