--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -19,23 +19,45 @@
 // because a request that is sent while the peer closes the connection may have run.
 const idleFraction = 0.6
 
+// maxFailed is the number of failed requests after which a connection is not reused.
+const maxFailed = 32
+
 // conn is one connection with its read buffer.
 type conn struct {
 	socket    net.Conn
-	reader    *bufio.Reader
-	reused    bool
+	source    *source
+	reader    *bufio.Reader // reads from source
 	idleSince time.Time
 	idleTime  time.Duration
+	// failed contains the match values of the requests that were refused or failed on this connection. They may be sent again,
+	// but not on this connection, where the earlier answer could be repeated and would match.
+	failed []string
 }
 
 func newConn(socket net.Conn, idleTime time.Duration) *conn {
-	return &conn{socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), idleTime: idleTime}
+	from := &source{socket: socket}
+	return &conn{socket: socket, source: from, reader: bufio.NewReaderSize(from, readBuffer), idleTime: idleTime}
+}
+
+// recordAnswer records the answer to a request whose answers have the match header. It returns false if the connection must
+// not be reused: a repeated refusal of a request without a match value could not be told from the answer to the next one.
+func (c *conn) recordAnswer(match string, status int) bool {
+	if status < http.StatusMultipleChoices {
+		return true
+	}
+	c.failed = append(c.failed, match)
+	return match != "" && len(c.failed) < maxFailed
 }
 
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the peer has
 // neither closed it nor sent data that belongs to no request.
 func (c *conn) usable() bool {
-	if time.Since(c.idleSince) >= c.idleTime || c.reader.Buffered() > 0 {
+	return time.Since(c.idleSince) < c.idleTime && c.quiet()
+}
+
+// quiet reports whether the connection is open and has no unread data. Data that precedes a request cannot answer it.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
 	syscallConn, ok := c.socket.(syscall.Conn)
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -7,10 +7,13 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/pollenpier/pollenpier/internal/network"
@@ -34,12 +37,17 @@
 	MatchHeader string
 	// MaxBody is the maximum size of an answer's body in bytes.
 	MaxBody int64
+	// MaxBuffered is the maximum size in bytes of the buffers of all answers that are being read. Zero means no limit. The first
+	// 16 KiB of each answer do not count.
+	MaxBuffered int64
 }
 
 // Pool sends requests and keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	options Options
-	dial    network.DialFunc
+	options  Options
+	dial     network.DialFunc
+	buffered buffered
+	skipped  atomic.Int64
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -54,7 +62,9 @@
 		dialer := &net.Dialer{Control: setUserTimeout(o.UserTimeout), KeepAlive: -1}
 		dial = dialer.DialContext
 	}
-	return &Pool{options: o, dial: dial.WithTimeout(o.DialTimeout), idle: map[string][]*conn{}}
+	return &Pool{
+		options: o, dial: dial.WithTimeout(o.DialTimeout), buffered: buffered{limit: o.MaxBuffered}, idle: map[string][]*conn{},
+	}
 }
 
 // setUserTimeout returns a dialer control function that sets how long sent data may stay unacknowledged. Without it, a
@@ -79,31 +89,38 @@
 	return p.opened
 }
 
-// take returns an idle connection that is still usable, or opens a new one.
-func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+// Skipped returns the number of answers to other requests that were skipped so far.
+func (p *Pool) Skipped() int64 { return p.skipped.Load() }
+
+// errUnsolicited means that the peer sent data on a new connection before it received a request, or closed it.
+var errUnsolicited = errors.New("new connection is closed or has data that belongs to no request")
+
+// take returns an idle connection that is still usable and on which the request with this match value has not failed, or opens
+// a new one.
+func (p *Pool) take(ctx context.Context, address, match string) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, match)
 		if c == nil {
 			return p.open(ctx, address)
 		}
 		if c.usable() {
-			c.reused = true
 			return c, nil
 		}
 		c.abort()
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+func (p *Pool) pop(address, match string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if match == "" || !slices.Contains(c.failed, match) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
@@ -114,7 +131,12 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(socket, p.options.IdleTime), nil
+	c := newConn(socket, p.options.IdleTime)
+	if !c.quiet() {
+		c.abort()
+		return nil, errUnsolicited
+	}
+	return c, nil
 }
 
 // put stores a connection for reuse, or closes it if the pool is closed or has enough idle connections.
