Tell requests that a stop cuts from those whose callers left

The server cancels its requests with the cause ErrStopping, and the outcome then has the reason stopping. It does not count against the backend, as canceled does not.

--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -123,6 +123,9 @@
 	return Outcome{Kind: OutcomeUnknown, Reason: reason, Detail: detail}
 }
 
+// IsCanceled reports whether this side gave the request up, so that the outcome says nothing about the backend.
+func (o Outcome) IsCanceled() bool { return o.Reason == ReasonCanceled || o.Reason == ReasonStopping }
+
 // Answered returns the outcome of a request whose answer is complete.
 func Answered() Outcome { return Outcome{Kind: OutcomeAnswered} }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -61,8 +61,8 @@
 	http    *http.Server
 	open    metrics.Gauge
 	leaving atomic.Bool
-	cancel  context.CancelFunc // cancels the contexts of all requests
-	drained chan struct{}      // closed when the last connection of a stopping server has ended
+	cancel  func()        // cancels the contexts of all requests, with ErrStopping
+	drained chan struct{} // closed when the last connection of a stopping server has ended
 
 	mu         sync.Mutex
 	socket     net.Listener
@@ -76,10 +76,10 @@
 
 // New returns a server. It registers its metrics in o.Registry.
 func New(o Options) *Server {
-	base, cancel := context.WithCancel(context.Background())
+	base, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
 		options: o, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry),
-		cancel: cancel, drained: make(chan struct{}), conns: map[*conn]struct{}{},
+		cancel: func() { cancel(ErrStopping) }, drained: make(chan struct{}), conns: map[*conn]struct{}{},
 	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
--- a/internal/httpserver/stop.go
+++ b/internal/httpserver/stop.go
@@ -12,6 +12,10 @@
 // answerTimeout is the time in which requests that are canceled at the end of a stop write their answers.
 const answerTimeout = 250 * time.Millisecond
 
+// ErrStopping is the cause of the cancellation of requests that are in progress when the time of a stop is over. If a caller leaves,
+// the cause is context.Canceled.
+var ErrStopping = errors.New("server is stopping")
+
 // Leave asks callers to open no further request on their connections: from now on every answer says that its connection is closed.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -171,6 +171,7 @@
 func TestRequestInProgressAtTheTimeLimitIsAnswered(t *testing.T) {
 	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
+		assert.ErrorIs(t, context.Cause(r.Context()), ErrStopping)
 		w.WriteHeader(http.StatusBadGateway)
 	}, nil)
 	c := s.dial()
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -306,7 +306,7 @@
 		e.ReportSlowdown(r.Load.Slowdown, now)
 	}
 	switch {
-	case r.Misdirected || r.Outcome.Reason == entity.ReasonCanceled:
+	case r.Misdirected || r.Outcome.IsCanceled():
 		e.Abandoned()
 	case r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors:
 		e.Succeeded(now-a.Sent, a.Position, now)
--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -115,7 +115,7 @@
 	if r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors {
 		return false
 	}
-	if !c.route.Idempotent || c.runs >= c.route.MaxAttempts || r.Outcome.Reason == entity.ReasonCanceled {
+	if !c.route.Idempotent || c.runs >= c.route.MaxAttempts || r.Outcome.IsCanceled() {
 		return false
 	}
 	return c.deadline-s.kernel.Now() > minAttemptTime
