--- /dev/null
+++ b/internal/service/loads/choose.go
@@ -0,0 +1,110 @@
+package loads
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pollenpier/pollenpier/internal/catalog"
+	"github.com/pollenpier/pollenpier/internal/decide/balance"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+)
+
+// Choose implements service.LoadTracker.
+func (s *Service) Choose(q service.LoadQuery) (service.Choice, service.Attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := make([]balance.Candidate, 0, len(q.Candidates))
+	backends := make([]*catalog.Backend, 0, len(q.Candidates))
+	for _, b := range q.Candidates {
+		if q.Excluded[b.ID] {
+			continue
+		}
+		e := s.endpoint(b, q.Now)
+		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: b.WarmUntil > q.Now, SameZone: b.Zone == q.Zone, Preference: e.preference})
+		backends = append(backends, b)
+	}
+	for {
+		i := balance.Choose(q.Now, candidates, rand.Float64)
+		if i < 0 {
+			return service.Choice{Reason: entity.ReasonUnreachable, RetryAfter: unreachableRetry}, service.Attempt{}
+		}
+		b, c := backends[i], candidates[i]
+		expected := c.Endpoint.Expected(q.Now, c.Cold)
+		if ok, retry := balance.WorthSending(expected, c.Endpoint.ServiceTime(q.Now), q.Goal); !ok {
+			s.refusedLoad.Inc(1)
+			acceptance := s.acceptance(q, b.ID)
+			acceptance.Record(false, q.Now)
+			return service.Choice{Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry)}, service.Attempt{}
+		}
+		e := s.endpoints[b.ID]
+		if c.Cold && q.Service.WarmupRate > 0 && !e.warmup.Take(q.Now, q.Service.WarmupRate, q.Instances, e.preference) {
+			s.warmupRefused.Inc(1)
+			candidates[i], backends[i] = candidates[len(candidates)-1], backends[len(backends)-1]
+			candidates, backends = candidates[:len(candidates)-1], backends[:len(backends)-1]
+			continue
+		}
+		s.acceptance(q, b.ID).Record(true, q.Now)
+		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Position: e.Start(), Sent: q.Now}
+	}
+}
+
+// acceptance returns the acceptance rate that applies to a request: that of the owner of its key, or that of its service if the
+// service is not partitioned. The caller holds the lock.
+func (s *Service) acceptance(q service.LoadQuery, owner entity.BackendID) *balance.AcceptanceRate {
+	if q.Service.Partitioned {
+		return &s.endpoints[owner].acceptance
+	}
+	p := s.acceptances[q.Service.Name]
+	if p == nil {
+		p = &balance.AcceptanceRate{}
+		s.acceptances[q.Service.Name] = p
+	}
+	return p
+}
+
+// unreachableRetry is the time after which a caller may retry if no backend is reachable.
+const unreachableRetry = 250 * time.Millisecond
+
+// ServiceTimes implements service.BackendTimeSource.
+func (s *Service) ServiceTimes(ids []entity.BackendID) []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	times := make([]time.Duration, len(ids))
+	for i, id := range ids {
+		e := s.endpoints[id]
+		if e == nil {
+			continue
+		}
+		if measured, known := e.MeasuredServiceTime(); known {
+			times[i] = measured
+		}
+	}
+	return times
+}
+
+// FinishAttempt implements service.LoadTracker.
+func (s *Service) FinishAttempt(a service.Attempt, r *service.DeliveryResult, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.endpoints[a.Backend]
+	if e == nil || e.InFlight() == 0 {
+		return // the state was dropped or replaced by that of a later process
+	}
+	if r.Load != nil {
+		e.ReportSlowdown(r.Load.Slowdown, now)
+	}
+	switch {
+	case r.Misdirected || r.Outcome.IsCanceled():
+		e.Abandoned()
+	case r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors:
+		e.Succeeded(now-a.Sent, a.Position, now)
+	case r.Outcome.Reason == entity.ReasonUnreachable:
+		e.Unreachable(now)
+	default:
+		e.Failed()
+	}
+}
+
+// serverErrors is the lowest HTTP status that reports a failure of the backend.
+const serverErrors = 500
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -7,7 +7,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +15,6 @@
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
 	"github.com/pollenpier/pollenpier/internal/decide/balance"
-	"github.com/pollenpier/pollenpier/internal/decide/quota"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
 	"github.com/pollenpier/pollenpier/internal/service"
@@ -66,20 +64,6 @@
 	preference float64
 }
 
-type customer struct {
-	bucket   *quota.Bucket
-	rate     float64
-	burst    float64
-	hash     uint32
-	admitted uint64
-	reported uint64
-	refused  uint64
-	// published is the number of requests, admitted or refused, that has been reported to peers.
-	published uint64
-	// lastRequestAt is the time of the last admission or refusal.
-	lastRequestAt time.Duration
-}
-
 // publishWindow is how long after a request a customer's counts are included in heartbeats. It covers two heartbeats at the
 // longest interval, in case one of them is lost.
 const publishWindow = 2200 * time.Millisecond
@@ -180,146 +164,6 @@
 	}
 }
 
-// customer returns the state of a customer with its current limits. The caller holds the lock.
-func (s *Service) customer(c *catalog.Customer, now time.Duration) *customer {
-	state := s.customers[c.ID]
-	if state == nil {
-		state = &customer{bucket: quota.NewBucket(c.Rate, c.Burst, now), rate: c.Rate, burst: c.Burst, hash: shortHash(string(c.ID))}
-		s.customers[c.ID], s.customersByHash[state.hash] = state, state
-	}
-	if state.rate != c.Rate || state.burst != c.Burst {
-		state.rate, state.burst = c.Rate, c.Burst
-		state.bucket.SetLimits(c.Rate, c.Burst)
-	}
-	return state
-}
-
-// Admit implements service.LoadTracker.
-func (s *Service) Admit(c *catalog.Customer, members *service.MembersView, now time.Duration) (bool, time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	state := s.customer(c, now)
-	ok, wait := state.bucket.Take(now, quota.Peers{ReachableShare: members.ReachableShare, ReachableCount: members.ReachableCount, Staleness: members.Staleness})
-	state.lastRequestAt = now
-	if !ok {
-		state.refused++
-		s.refusedRates.Inc(1)
-		return false, wait
-	}
-	state.admitted++
-	return true, 0
-}
-
-// RefundToken implements service.LoadTracker.
-func (s *Service) RefundToken(c *catalog.Customer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// Peers keep counting requests that were reported to them, so only a request that was not reported yet is refunded.
-	if state := s.customers[c.ID]; state != nil && state.admitted > state.reported {
-		state.admitted--
-		state.bucket.Refund()
-	}
-}
-
-// Choose implements service.LoadTracker.
-func (s *Service) Choose(q service.LoadQuery) (service.Choice, service.Attempt) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	candidates := make([]balance.Candidate, 0, len(q.Candidates))
-	backends := make([]*catalog.Backend, 0, len(q.Candidates))
-	for _, b := range q.Candidates {
-		if q.Excluded[b.ID] {
-			continue
-		}
-		e := s.endpoint(b, q.Now)
-		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: b.WarmUntil > q.Now, SameZone: b.Zone == q.Zone, Preference: e.preference})
-		backends = append(backends, b)
-	}
-	for {
-		i := balance.Choose(q.Now, candidates, rand.Float64)
-		if i < 0 {
-			return service.Choice{Reason: entity.ReasonUnreachable, RetryAfter: unreachableRetry}, service.Attempt{}
-		}
-		b, c := backends[i], candidates[i]
-		expected := c.Endpoint.Expected(q.Now, c.Cold)
-		if ok, retry := balance.WorthSending(expected, c.Endpoint.ServiceTime(q.Now), q.Goal); !ok {
-			s.refusedLoad.Inc(1)
-			acceptance := s.acceptance(q, b.ID)
-			acceptance.Record(false, q.Now)
-			return service.Choice{Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry)}, service.Attempt{}
-		}
-		e := s.endpoints[b.ID]
-		if c.Cold && q.Service.WarmupRate > 0 && !e.warmup.Take(q.Now, q.Service.WarmupRate, q.Instances, e.preference) {
-			s.warmupRefused.Inc(1)
-			candidates[i], backends[i] = candidates[len(candidates)-1], backends[len(backends)-1]
-			candidates, backends = candidates[:len(candidates)-1], backends[:len(backends)-1]
-			continue
-		}
-		s.acceptance(q, b.ID).Record(true, q.Now)
-		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Position: e.Start(), Sent: q.Now}
-	}
-}
-
-// acceptance returns the acceptance rate that applies to a request: that of the owner of its key, or that of its service if the
-// service is not partitioned. The caller holds the lock.
-func (s *Service) acceptance(q service.LoadQuery, owner entity.BackendID) *balance.AcceptanceRate {
-	if q.Service.Partitioned {
-		return &s.endpoints[owner].acceptance
-	}
-	p := s.acceptances[q.Service.Name]
-	if p == nil {
-		p = &balance.AcceptanceRate{}
-		s.acceptances[q.Service.Name] = p
-	}
-	return p
-}
-
-// unreachableRetry is the time after which a caller may retry if no backend is reachable.
-const unreachableRetry = 250 * time.Millisecond
-
-// ServiceTimes implements service.BackendTimeSource.
-func (s *Service) ServiceTimes(ids []entity.BackendID) []time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	times := make([]time.Duration, len(ids))
-	for i, id := range ids {
-		e := s.endpoints[id]
-		if e == nil {
-			continue
-		}
-		if measured, known := e.MeasuredServiceTime(); known {
-			times[i] = measured
-		}
-	}
-	return times
-}
-
-// FinishAttempt implements service.LoadTracker.
-func (s *Service) FinishAttempt(a service.Attempt, r *service.DeliveryResult, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.endpoints[a.Backend]
-	if e == nil || e.InFlight() == 0 {
-		return // the state was dropped or replaced by that of a later process
-	}
-	if r.Load != nil {
-		e.ReportSlowdown(r.Load.Slowdown, now)
-	}
-	switch {
-	case r.Misdirected || r.Outcome.IsCanceled():
-		e.Abandoned()
-	case r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors:
-		e.Succeeded(now-a.Sent, a.Position, now)
-	case r.Outcome.Reason == entity.ReasonUnreachable:
-		e.Unreachable(now)
-	default:
-		e.Failed()
-	}
-}
-
-// serverErrors is the lowest HTTP status that reports a failure of the backend.
-const serverErrors = 500
-
 // CountRequest implements service.LoadTracker.
 func (s *Service) CountRequest(name entity.ServiceName, instances int, key uint32, hasKey bool) {
 	s.mu.Lock()
@@ -377,86 +221,3 @@
 	p.current[best] -= sum
 	return best
 }
-
-// Report implements service.TrafficExchange.
-func (s *Service) Report(now time.Duration, full bool) service.TrafficReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := service.TrafficReport{InFlight: map[uint32]uint32{}, ColdSent: map[uint32]uint32{}, Admitted: map[uint32]uint64{}, Refused: map[uint32]uint64{}}
-	for _, e := range s.endpoints {
-		if n := e.InFlight(); n > 0 {
-			r.InFlight[e.hash] = uint32(n)
-		}
-		if n := e.warmup.OwnCount(now); n > 0 {
-			r.ColdSent[e.hash] = uint32(n)
-		}
-	}
-	for _, c := range s.customers {
-		demand := c.admitted + c.refused
-		if c.rate > 0 && (full || (demand > 0 && now-c.lastRequestAt <= publishWindow)) {
-			r.Admitted[c.hash], r.Refused[c.hash] = c.admitted, c.refused
-			c.reported = c.admitted
-			c.bucket.AddReportedDemand(float64(demand-min(c.published, demand)), now)
-			c.published = demand
-		}
-	}
-	r.Keys, s.keys = s.keys, nil
-	r.Crashing = slices.Clone(s.crashes.reported)
-	return r
-}
-
-// ApplyPeerReport implements service.TrafficExchange.
-func (s *Service) ApplyPeerReport(p service.PeerTraffic, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.endpoints {
-		e.SetPeerInFlight(p.Instance, int(p.InFlight[e.hash]))
-	}
-	for hash, n := range p.ColdSent {
-		if e := s.endpointsByHash[hash]; e != nil {
-			e.warmup.SetPeerCount(string(p.Instance), int(n), now)
-		}
-	}
-	s.applyPeerAdmissions(p, now)
-	s.applyPeerCrashes(p.Instance, p.Crashing, now)
-}
-
-// peerUsage is what a peer has reported about a customer: admitted requests, and all requests.
-type peerUsage struct{ admitted, demand uint64 }
-
-// applyPeerAdmissions charges what a peer has admitted since its last heartbeat to the customers' buckets, and records the demand
-// at that peer. The first heartbeat of a peer only sets the base. The caller holds the lock.
-func (s *Service) applyPeerAdmissions(p service.PeerTraffic, now time.Duration) {
-	usages := s.peerUsages[p.Instance]
-	first := usages == nil
-	if first {
-		usages = map[uint32]peerUsage{}
-		s.peerUsages[p.Instance] = usages
-	}
-	for hash, n := range p.Admitted {
-		before, known := usages[hash]
-		current := peerUsage{admitted: n, demand: n + p.Refused[hash]}
-		usages[hash] = current
-		c := s.customersByHash[hash]
-		if c == nil || (first && !known) {
-			continue
-		}
-		if current.admitted > before.admitted {
-			c.bucket.ChargePeer(float64(current.admitted - before.admitted))
-		}
-		if current.demand > before.demand {
-			c.bucket.AddPeerDemand(float64(current.demand-before.demand), now)
-		}
-	}
-}
-
-// ForgetPeer implements service.TrafficExchange.
-func (s *Service) ForgetPeer(id entity.InstanceID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.peerUsages, id)
-	delete(s.crashes.peerReports, id)
-	for _, e := range s.endpoints {
-		e.SetPeerInFlight(id, 0)
-	}
-}
