Name the new primary while an instance stops

Callers at other instances waited while their requests were forwarded to a stopping instance again and again, as long as it answered.

Cause: from the beginning of its drain, dispatch refused every request as "stopping", also after the lease of the backend had been handed over. For "stopping" the gateway keeps the instance as its known primary and retries there.

Dispatch now says "stopping" only while it holds the lease, and "not holder, ask X" afterwards, for which the gateway goes to X or to the next candidate. Both are true refusals: dispatch has sent nothing.

--- a/internal/service/dispatch/dispatch.go
+++ b/internal/service/dispatch/dispatch.go
@@ -53,7 +53,7 @@
 
 func (s *Service) dispatch(ctx context.Context, req *service.Request) service.Response {
 	if s.stopping.Load() {
-		return refused(entity.NotRun(entity.ReasonStopping, ""))
+		return refused(s.stoppingRefusal(req.Backend))
 	}
 	p := s.plan.Load()
 	if p == nil {
@@ -89,6 +89,15 @@
 	return resp
 }
 
+// stoppingRefusal returns the refusal of an instance in a planned stop. Once the backend's lease is handed over, the sender must ask
+// the new primary: after "stopping" it would send the request here again.
+func (s *Service) stoppingRefusal(id entity.BackendID) entity.Outcome {
+	if _, held := heldLease(s.leases.Leases(), id, s.kernel.Now()); held {
+		return entity.NotRun(entity.ReasonStopping, "")
+	}
+	return entity.NotRun(entity.ReasonNotHolder, "the lease was handed over in a planned stop")
+}
+
 // newFlight reads the request's body and returns the flight. The body is read before the request is queued, so that a slow
 // caller occupies no slot, and it is kept, because the fingerprint covers it and a retry sends it again.
 func (s *Service) newFlight(q *backendQueue, p *plan, req *service.Request) (*flight, entity.Outcome, bool) {
