Tell a forward of which nothing was sent from an unknown one

Callers got 502 unknown, "write tcp ...: use of closed network connection", for at-most-once orders of which no byte had left the instance: the peer had closed the pooled connection between its choice and the first write.

Cause: each error of sending the head was reported as unknown.

A connection now counts the bytes written, writes in progress included. If the send fails, the connection is closed, so that nothing that is buffered can leave later, and if the count is that of the call's begin, the outcome is "not run: unreachable".

--- a/internal/peer/forward_client.go
+++ b/internal/peer/forward_client.go
@@ -28,14 +28,15 @@
 // Forward sends a request to the instance at address, which dispatches it, and returns the answer. The caller must close the
 // answer's body.
 //
-// The outcome is "not run" only if the request body could not be read, the connection could not be opened, or the peer reported
-// it. It is unknown if the connection was lost while the head was sent or later.
+// The outcome is "not run" only if the request body could not be read, the connection could not be opened or was closed before a
+// byte of the request was sent, or the peer reported it. It is unknown if the connection was lost later.
 func (c *Client) Forward(ctx context.Context, address string, req *service.Request) service.Response {
 	head := toHead(req, req.Deadline-c.clock.Now(), traceparentOf(ctx))
 	if err := inlineBody(head, req); err != nil {
 		return service.Response{Outcome: entity.NotRun(entity.ReasonCanceled, err.Error())}
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline-c.clock.Now())
+	ctx, call := withSentCall(ctx)
 	stream, err := c.stub(ctx, address).Forward(ctx)
 	if err != nil {
 		cancel()
@@ -43,6 +44,9 @@
 	}
 	if err := stream.Send(&pb.ForwardRequest{Frame: &pb.ForwardRequest_Head{Head: head}}); err != nil {
 		cancel()
+		if call.sentNothing() {
+			return service.Response{Outcome: entity.NotRun(entity.ReasonUnreachable, err.Error())}
+		}
 		return service.Response{Outcome: entity.Unknown(entity.ReasonBroken, err.Error())}
 	}
 	if !head.GetComplete() {
--- a/internal/peer/pooled.go
+++ b/internal/peer/pooled.go
@@ -26,11 +26,13 @@
 	started  time.Time
 }
 
-// countedConn counts the received bytes.
+// countedConn counts the bytes in both directions.
 type countedConn struct {
 	net.Conn
 
 	received atomic.Uint64
+	// sent is the number of bytes that the peer may have received. It includes writes in progress.
+	sent atomic.Int64
 }
 
 // Read implements net.Conn.
@@ -40,6 +42,40 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.sent.Add(int64(len(p)))
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(max(n, 0) - len(p)))
+	return n, err
+}
+
+// sentCall records which connection a call uses, so that a failed call can prove that the peer received no byte of it.
+type sentCall struct {
+	conn *countedConn
+	// before is the value of conn.sent when the call began.
+	before int64
+}
+
+// sentNothing closes the connection of a call that failed to send, so that nothing is sent later, and reports whether no byte of the
+// call had been sent before.
+func (c *sentCall) sentNothing() bool {
+	if c.conn == nil {
+		return false
+	}
+	_ = c.conn.Close() // fails if the connection is closed already
+	return c.conn.sent.Load() == c.before
+}
+
+// sentCallKey is the key of the context's *sentCall.
+type sentCallKey struct{}
+
+// withSentCall returns a context whose calls are recorded in the returned value.
+func withSentCall(ctx context.Context) (context.Context, *sentCall) {
+	call := &sentCall{}
+	return context.WithValue(ctx, sentCallKey{}, call), call
+}
+
 // discarded is what Closed returns for connections that must not be reused.
 var discarded = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
 
@@ -58,6 +94,9 @@
 // NewStream implements drpc.Conn.
 func (c *pooledConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
 	c.begin()
+	if call, ok := ctx.Value(sentCallKey{}).(*sentCall); ok {
+		call.conn, call.before = c.raw, c.raw.sent.Load()
+	}
 	return c.Conn.NewStream(ctx, rpc, enc)
 }
 
