End a peer's call when the kernel stops

A call of a peer that asks a service could wait until its own context ended, if the kernel stopped after it had accepted the message and before the service replied. In an instance the peer server cancels its calls before the kernel stops, so no caller has seen it; the order of these two was the only protection.

Cause: ask watched the reply and its context only. A stopped kernel still accepts messages while its mailbox has space.

ask now also ends with ErrStopped when the control goroutine has ended.

Evidence: the test failed before with expected: "kernel stopped" in chain: "context deadline exceeded"

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -233,6 +233,10 @@
 	}
 }
 
+// Stopped returns a channel that is closed when the control goroutine ends. Messages that were delivered but not handled by then are
+// not answered.
+func (k *Kernel) Stopped() <-chan struct{} { return k.loopDone }
+
 // Now returns the monotonic time of the kernel's clock.
 func (k *Kernel) Now() time.Duration { return k.clock.Now() }
 
--- a/internal/service/peerserver/peerserver.go
+++ b/internal/service/peerserver/peerserver.go
@@ -199,8 +199,8 @@
 	}
 }
 
-// ask delivers a message to a service on the control goroutine and waits for its reply. It fails if ctx ends, or if
-// the kernel stops before the message is delivered.
+// ask delivers a message to a service on the control goroutine and waits for its reply. It fails if ctx ends or the kernel stops
+// before.
 func ask[T any](ctx context.Context, k *kernel.Kernel, to kernel.Name, message func(chan<- T) kernel.Message) (T, error) {
 	reply := make(chan T, 1)
 	var none T
@@ -210,6 +210,8 @@
 	select {
 	case answer := <-reply:
 		return answer, nil
+	case <-k.Stopped():
+		return none, kernel.ErrStopped
 	case <-ctx.Done():
 		return none, ctx.Err()
 	}
--- a/internal/service/peerserver/stop_test.go
+++ b/internal/service/peerserver/stop_test.go
@@ -182,3 +182,16 @@
 	require.Less(t, time.Since(began), time.Second)
 	s.close(t)
 }
+
+// Guards against a call that waits until its context ends because the kernel stopped after it accepted the message.
+func TestCallEndsWhenTheKernelStops(t *testing.T) {
+	const calls = 20 // a stopped kernel accepts the message of about every second call
+	i := startInstance(t)
+	require.NoError(t, i.kernel.Stop(context.Background()))
+	for range calls {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := i.server.Heartbeat(ctx, service.HeartbeatRequest{})
+		cancel()
+		require.ErrorIs(t, err, kernel.ErrStopped)
+	}
+}
