--- a/internal/httpserver/stop.go
+++ b/internal/httpserver/stop.go
@@ -19,11 +19,12 @@
 // Leave asks callers to open no further request on their connections: from now on every answer says that its connection is closed.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Shutdown closes the listener and all connections without losing a request. A connection on which nothing of a request has been
-// read is closed at once; its caller can tell that a request that crosses the close was not read. All other requests are answered
-// first, unless their headers do not arrive within stopReadTimeout. When ctx ends, the contexts of the requests in progress are canceled, so that they are answered without their result, and
-// Shutdown returns an error. The Shutdown of net/http is not used, since it closes connections that it is reading from and drops
-// requests that it has read.
+// Shutdown closes the listener and all connections without losing a request. A connection on which nothing of a request has arrived
+// is closed at once; its caller can tell that a request that crosses the close was not read. All other requests are answered first,
+// unless their headers do not arrive within stopReadTimeout. When ctx ends, the contexts of the requests in progress are canceled, so
+// that they are answered without their result, and Shutdown returns an error.
+//
+// The Shutdown of net/http is not used, since it closes connections that it is reading from and drops requests that it has read.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	err := s.stopConns()
