End a stop only when no connection is being accepted any more

Cause: the stop counted as finished when no connection was tracked, also while the accepting goroutine held one that the listener had returned and that was not tracked yet. Close then canceled its request, or dropped it. Since requests that lie in the socket are answered, such a connection was served until then.

Change: the stop is finished when the server accepts no more connections and the last one has ended.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -62,11 +62,12 @@
 	open    metrics.Gauge
 	leaving atomic.Bool
 	cancel  func()        // cancels the contexts of all requests, with ErrStopping
-	drained chan struct{} // closed when the last connection of a stopping server has ended
+	drained chan struct{} // closed when a stopping server accepts no more connections and the last one has ended
 
 	mu         sync.Mutex
 	socket     net.Listener
 	conns      map[*conn]struct{}
+	accepting  bool // the listener may still return a connection, also after it was closed
 	stoppingAt time.Time
 	isDrained  bool
 }
@@ -107,20 +108,24 @@
 	s.mu.Lock()
 	s.socket = l
 	stopped := !s.stoppingAt.IsZero()
+	s.accepting = !stopped
 	s.mu.Unlock()
 	if stopped {
 		return errors.Join(http.ErrServerClosed, l.Close())
 	}
 	err := s.http.Serve(&listener{Listener: l, server: s})
-	if s.isStopping() {
+	if s.endAccepting() {
 		return http.ErrServerClosed
 	}
 	return err
 }
 
-func (s *Server) isStopping() bool {
+// endAccepting records that no further connection is accepted, and reports whether the server is stopping.
+func (s *Server) endAccepting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.accepting = false
+	s.checkDrained()
 	return !s.stoppingAt.IsZero()
 }
 
--- a/internal/httpserver/stop.go
+++ b/internal/httpserver/stop.go
@@ -84,9 +84,9 @@
 	}
 }
 
-// checkDrained reports that a stopping server has no connections left. The caller holds the lock.
+// checkDrained reports that a stopping server has no connections left and accepts none. The caller holds the lock.
 func (s *Server) checkDrained() {
-	if !s.stoppingAt.IsZero() && len(s.conns) == 0 && !s.isDrained {
+	if !s.stoppingAt.IsZero() && !s.accepting && len(s.conns) == 0 && !s.isDrained {
 		s.isDrained = true
 		close(s.drained)
 	}
--- a/internal/httpserver/stop_test.go
+++ b/internal/httpserver/stop_test.go
@@ -99,6 +99,49 @@
 	require.NoError(t, <-stopped)
 }
 
+// slowAcceptListener returns its connections only when the test lets them pass, as in a process that is not scheduled.
+type slowAcceptListener struct {
+	net.Listener
+	accepted chan struct{}
+	pass     chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *slowAcceptListener) Accept() (net.Conn, error) {
+	socket, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.pass
+	}
+	return socket, err
+}
+
+// Guards against a stop that counts as finished while a connection is still being accepted, whose request is then cut.
+func TestRequestOnAConnectionAcceptedAsTheStopBeginsIsAnswered(t *testing.T) {
+	slow := &slowAcceptListener{accepted: make(chan struct{}), pass: make(chan struct{})}
+	s := newSite(t, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+		assert.NoError(t, r.Context().Err())
+	}, func(l net.Listener) net.Listener {
+		slow.Listener = l
+		return slow
+	})
+	c := s.dial()
+	c.send("a")
+	<-slow.accepted
+	stopped := s.stop(5 * time.Second)
+	time.Sleep(50 * time.Millisecond)
+	close(slow.pass)
+	status, err := c.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.NoError(t, <-stopped)
+	require.Empty(t, s.unanswered())
+}
+
 // Guards against a request that is read from an open connection just as the stop closes it, and gets no answer.
 func TestRequestReadAsTheStopBeginsIsAnswered(t *testing.T) {
 	held := &heldListener{armed: make(chan struct{}, 1), read: make(chan struct{}), pass: make(chan struct{})}
