Heed backends that leave or ask for no requests; refuse odd entries

Cause: the answers of a backend were read for its load only. "Connection: close" was taken for leaving and read by nobody, a 503 with Retry-After was followed by further requests, downloads counted as not idempotent, and entries with a port of 99999, a name as address or a warm-up of 1e300 s (which overflows a duration) were used. A request taken after SIGTERM was cut at the end of the grace time if its answer took longer.

Change: - An answer, grant or release with the header of a leaving backend ends new work there: loads records it, members reports it to the directory and the peers, the directory remembers it for the process (internal/service/directory/leaving.go), so that a record that is read later does not undo it. - balance.Endpoint.HoldOff: for the time that a backend asks for, no requests; those for its keys are refused at once, not run. - platform/decode.go checks the numbers and the address of an entry; seconds() saturates; unknown kinds of routes are logged (2108). - internal/decide/shutdown decides which requests a stopping instance accepts; the router uses it for all requests after SIGTERM. - members keeps reading its socket after an error other than its close.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -46,6 +46,8 @@
 
 	pausedUntil time.Duration
 	pause       time.Duration
+	// heldOffUntil is when the time ends for which the backend itself asked for no requests.
+	heldOffUntil time.Duration
 }
 
 // NewEndpoint returns the state of a backend of which only the number of slots is known.
@@ -179,7 +181,7 @@
 func Choose(now time.Duration, candidates []Candidate, random func() float64) int {
 	best, bestCost := -1, 0.0
 	for i, c := range candidates {
-		if c.Endpoint.Paused(now) {
+		if c.Endpoint.Paused(now) || c.Endpoint.HeldOff(now) > 0 {
 			continue
 		}
 		cost := float64(c.Endpoint.Cost(now, c.Cold)) * (1 + preferenceSpread*c.Preference) * (1 + randomSpread*random())
--- a/internal/decide/keyrange/executor.go
+++ b/internal/decide/keyrange/executor.go
@@ -79,6 +79,8 @@
 	Command
 	Outcome  Outcome
 	Handover string
+	// Leaving means that the backend stated in the answer that it is leaving.
+	Leaving bool
 }
 
 type stage uint8
--- a/internal/decide/keyrange/table.go
+++ b/internal/decide/keyrange/table.go
@@ -9,6 +9,9 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
 )
@@ -19,6 +22,11 @@
 	Incarnation int64
 }
 
+// Hash returns a hash that identifies the process in messages between instances.
+func (h Holder) Hash() uint64 {
+	return xxhash.Sum64String(string(h.ID) + "/" + strconv.FormatInt(h.Incarnation, 10))
+}
+
 // Range is an interval of keys with one owner.
 type Range struct {
 	From, To uint32 // both inclusive
--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -66,7 +66,7 @@
 			return nil, false, err
 		}
 		c.updateIdleTime(answer.Header)
-		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Closing: answer.Close}
+		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body}
 		reusable := !answer.Close && c.reader.Buffered() == 0
 		if p.options.MatchHeader != "" && !c.recordAnswer(r.Match, answer.StatusCode) {
 			reusable = false
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -27,8 +27,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Closing reports whether the peer announced that it closes the connection.
-	Closing bool
 }
 
 // Errors of Pool.Do.
--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -40,6 +40,7 @@
 	config           *catalog.Config
 	backends         map[entity.BackendID]*catalog.Backend
 	lapsed           map[entity.BackendID]bool
+	leaving          leavingProcesses
 	evacuated        map[entity.Zone]bool
 	evacuatedSince   map[entity.Zone]time.Duration // when each zone was evacuated
 	coldUntil        map[entity.Zone]time.Duration // until when the backends of a re-enabled zone count as cold
@@ -64,6 +65,7 @@
 		subscribers:    []kernel.Name{service.Keys, service.Loads},
 		backends:       map[entity.BackendID]*catalog.Backend{},
 		lapsed:         map[entity.BackendID]bool{},
+		leaving:        leavingProcesses{},
 		evacuated:      map[entity.Zone]bool{},
 		evacuatedSince: map[entity.Zone]time.Duration{},
 		coldUntil:      map[entity.Zone]time.Duration{},
@@ -104,6 +106,8 @@
 		s.configRead(t, m)
 	case service.BackendsRead:
 		s.backendsRead(t, m)
+	case service.BackendsLeaving:
+		s.backendsLeaving(t, m)
 	case service.ZonesRead:
 		s.zonesRead(t, m)
 	case service.StoreOutage:
@@ -177,18 +181,13 @@
 	if next.WarmUntil = s.coldUntil[next.Zone]; e.RemainingWarmup > 0 {
 		next.WarmUntil = now + e.RemainingWarmup
 	}
-	alreadyLeaving := false
-	if old != nil && old.SameProcess(&next) {
-		alreadyLeaving = old.Draining
-		// Leaving is final for a process, even if a delayed record says otherwise.
-		next.Draining = next.Draining || old.Draining
-		next.LastActiveAt = old.LastActiveAt
-		if old.Draining == next.Draining && old.Slots == next.Slots && sameWarmup(old.WarmUntil, next.WarmUntil, now) {
-			return false
-		}
+	if next.Draining {
+		s.leaving.record(processHash(&next), lastActiveAt, now)
 	}
-	if next.Draining && !alreadyLeaving {
-		next.LastActiveAt = lastActiveAt
+	next.LastActiveAt, next.Draining = s.leaving.since(processHash(&next))
+	if old != nil && old.SameProcess(&next) && old.Draining == next.Draining && old.LastActiveAt == next.LastActiveAt &&
+		old.Slots == next.Slots && sameWarmup(old.WarmUntil, next.WarmUntil, now) {
+		return false
 	}
 	s.backends[e.ID] = &next
 	if old == nil || !old.SameProcess(&next) || old.Draining != next.Draining {
--- a/internal/service/keys/commands.go
+++ b/internal/service/keys/commands.go
@@ -138,6 +138,9 @@
 	grantedBefore := len(s.grantedFences)
 	for _, r := range m.results {
 		s.countResult(r)
+		if r.Leaving {
+			s.leaving.RecordLeaving(m.target, t.Now())
+		}
 		switch r.Outcome {
 		case keyrange.Done, keyrange.Refused:
 			k.recordAnswer(r.done)
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -75,6 +75,9 @@
 	mu           sync.Mutex
 	arrived      []sentCommand
 	unresponsive map[string]bool
+	// leaving is the address of the backend that states in its answers that it is leaving.
+	leaving         string
+	recordedLeaving []entity.BackendID // see loadsStub
 }
 
 func (b *backends) SendCommand(_ context.Context, to *catalog.Backend, o keyrange.Command) keyrange.Result {
@@ -84,7 +87,7 @@
 		return keyrange.Result{Command: o, Outcome: keyrange.NotSent}
 	}
 	b.arrived = append(b.arrived, sentCommand{o, to.Address})
-	return keyrange.Result{Command: o, Outcome: keyrange.Done, Handover: "warm"}
+	return keyrange.Result{Command: o, Outcome: keyrange.Done, Handover: "warm", Leaving: to.Address == b.leaving}
 }
 
 func (b *backends) RaiseFence(context.Context, *catalog.Backend, uint64) error { return nil }
@@ -118,10 +121,20 @@
 	*backends
 }
 
-// serviceTimeStub is a loads service without measurements.
-type serviceTimeStub struct{ stub }
+// loadsStub is a loads service without measurements. It records the backends that are leaving.
+type loadsStub struct {
+	stub
+	*backends
+}
+
+// RecordLeaving implements service.LeavingRecorder.
+func (s loadsStub) RecordLeaving(process keyrange.Holder, _ time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordedLeaving = append(s.recordedLeaving, process.ID)
+}
 
-func (serviceTimeStub) ServiceTimes(ids []entity.BackendID) []time.Duration {
+func (loadsStub) ServiceTimes(ids []entity.BackendID) []time.Duration {
 	return make([]time.Duration, len(ids))
 }
 
@@ -145,7 +158,7 @@
 		h.keys,
 		storeStub{stub{name: service.Store}, store},
 		commandsStub{stub{name: service.Endpoints}, targets},
-		serviceTimeStub{stub{name: service.Loads}},
+		loadsStub{stub{name: service.Loads}, targets},
 		stub{name: service.Members},
 	})
 	require.NoError(t, err)
--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -74,6 +74,7 @@
 	store        service.DocumentStore
 	commands     service.CommandSender
 	serviceTimes service.BackendTimeSource
+	leaving      service.LeavingRecorder
 	kernel       *kernel.Kernel
 	view         kernel.Snapshot[service.KeyView]
 
@@ -187,7 +188,10 @@
 	if s.commands, err = kernel.Lookup[service.CommandSender](r, service.Endpoints); err != nil {
 		return err
 	}
-	s.serviceTimes, err = kernel.Lookup[service.BackendTimeSource](r, service.Loads)
+	if s.serviceTimes, err = kernel.Lookup[service.BackendTimeSource](r, service.Loads); err != nil {
+		return err
+	}
+	s.leaving, err = kernel.Lookup[service.LeavingRecorder](r, service.Loads)
 	return err
 }
 
--- a/internal/service/keys/keys_test.go
+++ b/internal/service/keys/keys_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
 
@@ -124,3 +125,15 @@
 		return second.keys.KeyView().Coordinator
 	}, 3*time.Second, 50*time.Millisecond)
 }
+
+// Guards against a backend that is granted more keys although it answers grants with the statement that it is leaving.
+func TestAnswerToAGrantThatStatesLeavingIsRecorded(t *testing.T) {
+	targets := &backends{leaving: "10.0.0.2:1"}
+	h := newHarness(t, "one", &memoryStore{}, targets)
+	h.list(backend("e1", "10.0.0.1:1", 1), backend("e2", "10.0.0.2:1", 1))
+	h.waitGranted("e1", "e2")
+	targets.mu.Lock()
+	defer targets.mu.Unlock()
+	require.NotEmpty(t, targets.recordedLeaving)
+	require.NotContains(t, targets.recordedLeaving, entity.BackendID("e1"))
+}
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
 	"github.com/pollenpier/pollenpier/internal/decide/balance"
+	"github.com/pollenpier/pollenpier/internal/decide/keyrange"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
@@ -27,7 +28,7 @@
 	for {
 		i := balance.Choose(q.Now, candidates, rand.Float64)
 		if i < 0 {
-			return service.Choice{Reason: entity.ReasonUnreachable, RetryAfter: unreachableRetry}, service.Attempt{}
+			return s.noneUsable(candidates, q.Now), service.Attempt{}
 		}
 		b, c := backends[i], candidates[i]
 		expected := c.Endpoint.Expected(q.Now, c.Cold)
@@ -45,10 +46,19 @@
 			continue
 		}
 		s.acceptance(q, b.ID).Record(true, q.Now)
-		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Position: e.Start(), Sent: q.Now}
+		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now}
 	}
 }
 
+// noneUsable returns the refusal of a request for which none of the candidates can be used at the moment.
+func (s *Service) noneUsable(candidates []balance.Candidate, now time.Duration) service.Choice {
+	if retry := balance.ReturnAfterHoldOff(now, candidates, rand.Float64); retry > 0 {
+		s.heldOff.Inc(1)
+		return service.Choice{Reason: entity.ReasonShed, RetryAfter: retry}
+	}
+	return service.Choice{Reason: entity.ReasonUnreachable, RetryAfter: unreachableRetry}
+}
+
 // acceptance returns the acceptance rate that applies to a request: that of the owner of its key, or that of its service if the
 // service is not partitioned. The caller holds the lock.
 func (s *Service) acceptance(q service.LoadQuery, owner entity.BackendID) *balance.AcceptanceRate {
@@ -87,13 +97,19 @@
 func (s *Service) FinishAttempt(a service.Attempt, r *service.DeliveryResult, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.Leaving {
+		s.leaving.record(keyrange.Holder{ID: a.Backend, Incarnation: a.Incarnation}, now)
+	}
 	e := s.endpoints[a.Backend]
-	if e == nil || e.InFlight() == 0 {
+	if e == nil || e.incarnation != a.Incarnation || e.InFlight() == 0 {
 		return // the state was dropped or replaced by that of a later process
 	}
 	if r.Load != nil {
 		e.ReportSlowdown(r.Load.Slowdown, now)
 	}
+	if r.HoldOff > 0 {
+		e.HoldOff(r.HoldOff, now)
+	}
 	switch {
 	case r.Misdirected || r.Outcome.IsCanceled():
 		e.Abandoned()
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -47,8 +47,9 @@
 	peerUsages      map[entity.InstanceID]map[uint32]peerUsage
 	keys            []uint32
 	crashes         crashes
+	leaving         leavingReports
 
-	refusedRates, refusedLoad, refusedRetries, warmupRefused metrics.Counter
+	refusedRates, refusedLoad, refusedRetries, warmupRefused, heldOff metrics.Counter
 }
 
 type endpoint struct {
@@ -87,9 +88,11 @@
 		acceptances:     map[entity.ServiceName]*balance.AcceptanceRate{},
 		peerUsages:      map[entity.InstanceID]map[uint32]peerUsage{},
 		crashes:         newCrashes(),
+		leaving:         leavingReports{},
 		refusedRates:    metrics.GetOrRegisterCounter("loads.refused_rate", r),
 		refusedLoad:     metrics.GetOrRegisterCounter("loads.refused_load", r),
 		refusedRetries:  metrics.GetOrRegisterCounter("loads.refused_repeat", r),
+		heldOff:         metrics.GetOrRegisterCounter("loads.held_off", r),
 		warmupRefused:   metrics.GetOrRegisterCounter("loads.held_by_ramp", r),
 	}
 }
@@ -113,6 +116,7 @@
 	_ service.LoadTracker       = (*Service)(nil)
 	_ service.TrafficExchange   = (*Service)(nil)
 	_ service.BackendTimeSource = (*Service)(nil)
+	_ service.LeavingRecorder   = (*Service)(nil)
 	_ kernel.Handler            = (*Service)(nil)
 )
 
--- a/internal/service/loads/peers.go
+++ b/internal/service/loads/peers.go
@@ -32,6 +32,7 @@
 	}
 	r.Keys, s.keys = s.keys, nil
 	r.Crashing = slices.Clone(s.crashes.reported)
+	r.Leaving = s.leaving.recent(now)
 	return r
 }
 
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -75,6 +75,9 @@
 // maxDatagram bounds a heartbeat in bytes. The links carry datagrams of this size without truncation.
 const maxDatagram = 16 << 10
 
+// readRetry is the pause after the socket could not be read for another reason than that it is closed.
+const readRetry = 50 * time.Millisecond
+
 // maxDelta bounds the table delta in a heartbeat, in bytes.
 const maxDelta = 8 << 10
 
@@ -222,8 +225,14 @@
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, from, err := s.socket.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return // the service stops
+		}
 		if err != nil {
-			return // the socket is closed when the service stops
+			s.bad.Inc(1)
+			telemetry.EventBadHeartbeat.Log(s.log, zap.Error(err))
+			time.Sleep(readRetry)
+			continue
 		}
 		message := &fleetpb.Heartbeat{}
 		if err := proto.Unmarshal(buffer[:n], message); err != nil || message.From == nil {
--- a/internal/service/members/receive.go
+++ b/internal/service/members/receive.go
@@ -79,6 +79,7 @@
 	p.cores = float64(m.message.Millicores) / millicores
 	s.receiveStoreUpdate(p, m.message, t.Now())
 	s.traffic.ApplyPeerReport(service.PeerTraffic{Instance: p.id, TrafficReport: trafficOf(m.message)}, t.Now())
+	s.reportLeaving(t, m.message.LeavingBackends)
 	t.Send(service.Keys, service.PeerHeartbeat{
 		Instance: p.id, Zone: p.zone, TableVersion: service.Version(m.message.TableVersion), Coordinator: m.message.Coordinator,
 		StoreReachable: m.message.StoreReachable, Leaving: m.message.Leaving, GrantedFences: m.message.HeldFences,
--- a/internal/service/members/send.go
+++ b/internal/service/members/send.go
@@ -29,6 +29,7 @@
 	}
 	report := s.traffic.Report(now, now < s.fullUntil)
 	s.pending = append(s.pending, report.Keys...)
+	s.reportLeaving(t, report.Leaving)
 	message := s.compose(report)
 	zoneDatagram, remoteDatagram := s.encode(s.withStoreUpdate(message)), s.encode(message)
 	relays := s.relays()
@@ -51,6 +52,13 @@
 	s.publish(now)
 }
 
+// reportLeaving sends the backends that are leaving, as stated to this instance or to a peer, to the directory.
+func (s *Service) reportLeaving(t *kernel.Turn, processes []uint64) {
+	if len(processes) > 0 {
+		t.Send(service.Directory, service.BackendsLeaving{Processes: processes, At: t.Now() - interval})
+	}
+}
+
 // reportKeys sends the requested keys to the coordinator only, which uses them to balance key ranges.
 func (s *Service) reportKeys(t *kernel.Turn) {
 	if s.ticks%reportEvery != 0 || len(s.pending) == 0 {
@@ -84,7 +92,7 @@
 	m := &fleetpb.Heartbeat{
 		From: s.self(), Sequence: s.sequence, TableVersion: uint64(s.keys.TableVersion), Coordinator: s.keys.Coordinator,
 		Millicores: uint32(s.instance.Cores * millicores), StoreReachable: s.keys.StoreReachable, HeldFences: s.keys.GrantedFences, Leaving: s.leaving,
-		Crashing: r.Crashing, Refusing: r.Refusing,
+		Crashing: r.Crashing, Refusing: r.Refusing, LeavingBackends: r.Leaving,
 	}
 	for id, n := range r.InFlight {
 		m.Backends = append(m.Backends, id)
@@ -141,7 +149,7 @@
 func trafficOf(m *fleetpb.Heartbeat) service.TrafficReport {
 	r := service.TrafficReport{
 		InFlight: map[uint32]uint32{}, ColdSent: map[uint32]uint32{}, Admitted: map[uint32]uint64{}, Refused: map[uint32]uint64{},
-		Crashing: m.Crashing, Refusing: m.Refusing,
+		Crashing: m.Crashing, Refusing: m.Refusing, Leaving: m.LeavingBackends,
 	}
 	for i := range min(len(m.Backends), len(m.InFlight)) {
 		r.InFlight[m.Backends[i]] = m.InFlight[i]
--- a/internal/service/router/check.go
+++ b/internal/service/router/check.go
@@ -4,7 +4,11 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/pollenpier/pollenpier/internal/decide/shutdown"
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/telemetry"
 )
 
 // Times of an instance that has just started. Its views are usually available sooner.
@@ -59,12 +63,26 @@
 	if c.deadline <= s.kernel.Now() {
 		return entity.NotRun(entity.ReasonDeadline, "deadline passed before the request was read"), false
 	}
+	if !s.acceptsDuringStop(c) {
+		return entity.NotRun(entity.ReasonStopping, "the instance stops before the request is likely to be answered"), false
+	}
 	if c.service.Partitioned && !c.call.HasKey {
 		return entity.NotRun(entity.ReasonBadRequest, "the service is partitioned by key and the request has no key"), false
 	}
 	return entity.Outcome{}, true
 }
 
+// acceptsDuringStop reports whether a planned stop of this instance, if there is one, leaves enough time for the request.
+func (s *Service) acceptsDuringStop(c *request) bool {
+	now := s.kernel.Now()
+	accepted := c.call.Stop.Accepts(shutdown.Request{End: c.deadline, LatencyTarget: c.route.LatencyTarget}, now)
+	if !accepted {
+		telemetry.EventCallTooLate.Log(s.log, zap.String("request", c.call.ID), zap.Duration("time_left", c.deadline-now),
+			zap.Duration("stop_in", c.call.Stop.StopBy-now))
+	}
+	return accepted
+}
+
 // admit takes a token of the customer's rate. If there is none, it returns false and the time after which one may be available.
 func (s *Service) admit(c *request) (time.Duration, bool) {
 	members := s.members.MembersView()
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -137,7 +137,7 @@
 func (s *Service) serve(ctx context.Context, c *request) service.Reply {
 	s.awaitViews(ctx, c)
 	if outcome, ok := s.check(c); !ok {
-		return service.Reply{Outcome: outcome}
+		return service.Reply{Outcome: outcome, RetryAfter: retryElsewhere(outcome)}
 	}
 	if s.isQuarantined(c) {
 		return service.Reply{Outcome: entity.NotRun(entity.ReasonQuarantined, "backends crashed while they ran the request"), RetryAfter: crashRetry}
@@ -154,6 +154,17 @@
 	return reply
 }
 
+// stoppingRetry is the time after which a caller may retry at another instance if this one is stopping or has just started.
+const stoppingRetry = 10 * time.Millisecond
+
+// retryElsewhere returns the time after which a caller may retry a request that was refused before it was admitted.
+func retryElsewhere(o entity.Outcome) time.Duration {
+	if o.Reason == entity.ReasonStopping {
+		return stoppingRetry
+	}
+	return 0
+}
+
 // finish logs and counts a reply.
 func (s *Service) finish(c *request, reply service.Reply) {
 	took := s.kernel.Now() - c.call.Received
--- a/internal/service/store_instance.go
+++ b/internal/service/store_instance.go
@@ -10,6 +10,7 @@
 	"github.com/pollenpier/pollenpier/internal/catalog"
 	"github.com/pollenpier/pollenpier/internal/decide/balance"
 	"github.com/pollenpier/pollenpier/internal/decide/keyrange"
+	"github.com/pollenpier/pollenpier/internal/decide/shutdown"
 	"github.com/pollenpier/pollenpier/internal/decide/storesync"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
@@ -129,6 +130,14 @@
 // ZonesRead is sent by the feed to the directory and contains the zones that are currently evacuated.
 type ZonesRead struct{ Evacuated map[entity.Zone]bool }
 
+// BackendsLeaving is sent by members to the directory and contains the backend processes that have stated in an answer to this
+// instance or to a peer that they are leaving.
+type BackendsLeaving struct {
+	Processes []uint64 // see keyrange.Holder.Hash
+	// At is a time, on the kernel's clock, before this instance learned of it. Their drain time counts from then.
+	At time.Duration
+}
+
 // StoreOutage is sent by the feed to the directory when reads of the store fail and when they succeed again.
 type StoreOutage struct {
 	Unavailable bool
@@ -212,6 +221,7 @@
 		Refused  map[uint32]uint64 // requests refused for the rate since the start, for the same customers
 		Keys     []uint32          // keys requested since the last report
 		Crashing []uint64          // fingerprints of requests that crashed backends
+		Leaving  []uint64          // hashes of backend processes that have just stated that they are leaving, see keyrange.Holder
 		Refusing []uint32          // backends that refuse connections
 	}
 	// PeerTraffic is the traffic report of a peer.
@@ -227,6 +237,12 @@
 	ServiceTimes(ids []entity.BackendID) []time.Duration
 }
 
+// LeavingRecorder records that a backend process has stated in an answer that it is leaving. Members reports it to the directory of
+// each instance.
+type LeavingRecorder interface {
+	RecordLeaving(process keyrange.Holder, now time.Duration)
+}
+
 // TrafficExchange is the interface through which members exchanges traffic reports with peers. Its methods are safe for
 // concurrent use and never block.
 type TrafficExchange interface {
@@ -269,6 +285,8 @@
 	Body   []byte
 	// Received is when the request was read, and Deadline when the caller stops waiting, both on the kernel's clock.
 	Received, Deadline time.Duration
+	// Stop is the schedule of the instance's planned stop at the time at which the request was read.
+	Stop shutdown.Schedule
 }
 
 // Reply is the result of a call.
@@ -299,9 +317,10 @@
 
 // Attempt is a request that is counted as in flight at a backend.
 type Attempt struct {
-	Backend  entity.BackendID
-	Position int // requests at the backend when it was sent, itself included
-	Sent     time.Duration
+	Backend     entity.BackendID
+	Incarnation int64 // of the backend process
+	Position    int   // requests at the backend when it was sent, itself included
+	Sent        time.Duration
 }
 
 // Choice is the backend chosen for a request, or the reason why there is none.
@@ -372,8 +391,10 @@
 	Load    *BackendLoad
 	// Misdirected means that the backend has no valid grant for the key, or that another backend answered.
 	Misdirected bool
-	// Leaving means that the backend is closing its connections.
+	// Leaving means that the backend stated in the answer that it is leaving.
 	Leaving bool
+	// HoldOff is how long the backend asks to be sent no requests; zero if it does not.
+	HoldOff time.Duration
 }
 
 // Deliverer sends calls to backends.
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -12,6 +12,8 @@
 	EventZonesEvacuated        = define(2105, zapcore.InfoLevel, "evacuated zones changed")
 	EventStoreEntryUnreadable  = define(2106, zapcore.WarnLevel, "entry in the store cannot be read and is ignored")
 	EventStoreUpdateUnreadable = define(2107, zapcore.WarnLevel, "store update relayed by another instance cannot be decoded, reading the store")
+	EventRouteKindUnknown      = define(2108, zapcore.WarnLevel, "kind of a route unknown, its requests run at most once")
+	EventBackendLeaving        = define(2109, zapcore.InfoLevel, "backend reported in an answer that it is leaving")
 	EventStoreUnavailable      = define(2110, zapcore.WarnLevel, "store cannot be reached")
 	EventStoreRecovered        = define(2111, zapcore.InfoLevel, "store reachable again")
 	EventHistoryLost           = define(2112, zapcore.InfoLevel, "history of the store no longer available, reading the newest entries")
