Keep the end of a longer grant, and count a coordinator's grants from its read

After an outage of the store the coordinator renewed a grant of 10 s with one of 5 s and then counted only the latter, while the backend kept the end of the former: held until 35.518 s, which only the grant of 25.660 s explains, and granted anew at 35.191 s, which is the end of the last renewal with 2% drift. By reading, a new coordinator also counted its table as confirmed at the time of the answer, not of the call, up to 3 s too late for its successor's wait.

Change: the later end of answered grants counts; the executor starts with the time of the call. The simulated backend of the simulation no longer shortens a grant by a renewal.

Measured: both new tests fail before the change.

--- a/internal/decide/keyrange/executor.go
+++ b/internal/decide/keyrange/executor.go
@@ -130,12 +130,13 @@
 	batchHasSpace func(Holder) bool // whether one more command fits into the batch of a backend
 }
 
-// NewExecutor returns an executor of a coordinator that has just been elected.
-func NewExecutor(timing Timing, now time.Duration) *Executor {
+// NewExecutor returns an executor of a coordinator that has just been elected. confirmedAt is when the call to the store was sent
+// that showed the table to be its own: another instance may have replaced the table since then.
+func NewExecutor(timing Timing, confirmedAt, now time.Duration) *Executor {
 	return &Executor{
 		timing:             timing,
 		ranges:             map[rangeID]*progress{},
-		confirmedAt:        now,
+		confirmedAt:        confirmedAt,
 		unknownGrantsUntil: now + withDrift(TableReadTTL) + maxCommandTime,
 	}
 }
@@ -293,7 +294,8 @@
 		first := p.stage != stageGranted
 		p.stage, p.handover = stageGranted, ""
 		p.next = sent + e.timing.Renew
-		p.answeredUntil = now + withDrift(result.TTL)
+		// A shorter renewal may leave the backend with the end of a longer grant before it.
+		p.answeredUntil = max(p.answeredUntil, now+withDrift(result.TTL))
 		return first
 	case Refused:
 		// Either a successor has moved the range, or a later plan has released a part of it. Both are visible in the table.
--- a/internal/decide/keyrange/executor_test.go
+++ b/internal/decide/keyrange/executor_test.go
@@ -13,7 +13,7 @@
 // grantedRange returns an executor whose only range was granted to owner at the given time.
 func grantedRange(t *testing.T, owner keyrange.Holder, now time.Duration) *keyrange.Executor {
 	t.Helper()
-	e := keyrange.NewExecutor(simTiming, 0)
+	e := keyrange.NewExecutor(simTiming, 0, 0)
 	e.SetState(&keyrange.State{}, 0)
 	e.SetState(&keyrange.State{Tables: []keyrange.Table{{
 		Service: simService, Ranges: []keyrange.Range{{To: catalog.KeySpace - 1, Owner: owner, Fence: 1}},
@@ -68,7 +68,7 @@
 // 22 s instead of TableReadTTL.
 func TestSuccessorWaitsForTheTableReadTTLOnly(t *testing.T) {
 	const start = time.Minute
-	e := keyrange.NewExecutor(simTiming, start)
+	e := keyrange.NewExecutor(simTiming, start, start)
 	previous, next := keyrange.Holder{ID: "e1", Incarnation: 1}, keyrange.Holder{ID: "e2", Incarnation: 1}
 	e.SetState(&keyrange.State{Tables: []keyrange.Table{{
 		Service: simService, Ranges: []keyrange.Range{{To: catalog.KeySpace - 1, Owner: next, PreviousOwner: previous, Fence: 2}},
@@ -94,3 +94,35 @@
 	e.HandleResult(keyrange.Result{Command: renewal, Outcome: keyrange.Done}, start+simTiming.Renew, start+simTiming.Renew)
 	require.False(t, e.Expired(owner, start+simTiming.Renew+simTiming.LongGrantTTL), "the long grant must still count")
 }
+
+// Guards against two owners after an outage of the store: a renewal with the usual TTL does not shorten the long grant of the outage,
+// which the owner may still have when the renewal would have expired (check OWNER, two owners for 327 ms).
+func TestShorterRenewalDoesNotEndALongGrant(t *testing.T) {
+	const start = time.Minute
+	owner := keyrange.Holder{ID: "e1", Incarnation: 1}
+	e := grantedRange(t, owner, start)
+	e.UseLongTTL(true)
+	long := start + simTiming.Renew
+	e.HandleResult(keyrange.Result{Command: dueCommand(t, e, long), Outcome: keyrange.Done}, long, long)
+	e.UseLongTTL(false)
+	short := long + simTiming.Renew
+	renewal := dueCommand(t, e, short)
+	require.Equal(t, simTiming.GrantTTL, renewal.TTL)
+	e.HandleResult(keyrange.Result{Command: renewal, Outcome: keyrange.Done}, short, short)
+	require.False(t, e.Expired(owner, long+simTiming.LongGrantTTL), "the long grant still counts")
+	require.True(t, e.Expired(owner, long+simTiming.LongGrantTTL*103/100))
+}
+
+// Guards against grants of a coordinator that outlast the wait of its successor because the store took seconds to show it its own
+// table: the successor may have replaced the table in that time.
+func TestGrantsOfANewCoordinatorCountFromItsRead(t *testing.T) {
+	const sent, received = time.Minute, time.Minute + 3*time.Second
+	owner := keyrange.Holder{ID: "e1", Incarnation: 1}
+	e := keyrange.NewExecutor(simTiming, sent, received)
+	e.SetState(&keyrange.State{Tables: []keyrange.Table{{
+		Service: simService, Ranges: []keyrange.Range{{To: catalog.KeySpace - 1, Owner: owner, Fence: 2}},
+	}}}, received)
+	e.UseLongTTL(true)
+	now := sent + keyrange.TableReadTTL - 4*time.Second
+	require.Equal(t, 4*time.Second, dueCommand(t, e, now).TTL)
+}
--- a/internal/decide/keyrange/sim_test.go
+++ b/internal/decide/keyrange/sim_test.go
@@ -42,6 +42,11 @@
 			return false
 		}
 	}
+	for _, h := range p.grants {
+		if h.fence == g.fence && h.from <= g.from && g.to <= h.to {
+			g.until = max(g.until, h.until) // a renewal does not shorten a grant
+		}
+	}
 	p.recordFence(g)
 	p.drop(g)
 	p.grants = append(p.grants, g)
@@ -136,7 +141,7 @@
 func (s *simulation) elect() {
 	s.state = s.state.Clone()
 	s.state.Term++
-	s.executor = keyrange.NewExecutor(simTiming, s.now)
+	s.executor = keyrange.NewExecutor(simTiming, s.now, s.now)
 	s.executor.SetState(s.state, s.now)
 }
 
--- a/internal/service/keys/claim.go
+++ b/internal/service/keys/claim.go
@@ -161,7 +161,7 @@
 	timing := keyrange.Timing{
 		GrantTTL: min(defaultGrantTTL, s.instance.MaxGrantTTL), LongGrantTTL: s.instance.MaxGrantTTL, Renew: renewInterval, Retry: commandRetryDelay,
 	}
-	s.coordinator = newCoordinator(state.Term, timing, t.Now(), state)
+	s.coordinator = newCoordinator(state.Term, timing, s.readAt, t.Now(), state)
 	s.chooseTTL()
 	s.counters.coordinating.Update(1)
 	telemetry.EventCoordinatorGained.Log(s.log, zap.Uint64("term", state.Term), zap.Uint64("version", uint64(s.version)))
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -51,10 +51,10 @@
 	err    error
 }
 
-func newCoordinator(term uint64, timing keyrange.Timing, now time.Duration, state *keyrange.State) *coordinator {
+func newCoordinator(term uint64, timing keyrange.Timing, confirmedAt, now time.Duration, state *keyrange.State) *coordinator {
 	return &coordinator{
 		term:      term,
-		executor:  keyrange.NewExecutor(timing, now),
+		executor:  keyrange.NewExecutor(timing, confirmedAt, now),
 		lastFence: state.LastFence,
 		contacts:  map[keyrange.Holder]*backendContact{},
 	}
