Estimate service times by route, and prefer the own zone while it answers in time

Two reasons: the service time of a backend mixed downloads (180 ms) with history queries (880 ms), and backends without a measurement counted as faster (90 ms) than any measured one, so each instance tried all of them.

Change: balance.WorkTimes keeps the mean service time of each route; the time of a backend is that of a request of mean work. A backend of the own zone takes precedence while its answer is expected within 0.6 of the time left until the target.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -38,7 +38,7 @@
 	peers        map[entity.InstanceID]int
 	peerInFlight int
 
-	serviceTime time.Duration // without queueing, at no slowdown
+	serviceTime time.Duration // of a request of mean work, without queueing, at no slowdown
 	measured    int           // number of measurements of serviceTime
 	slowdown    float64
 	slowdownAt  time.Duration
@@ -84,14 +84,16 @@
 }
 
 // Succeeded finishes a request that was answered after took. Position is the number of requests on the backend when it was
-// sent, as returned by Start.
-func (e *Endpoint) Succeeded(took time.Duration, position int, now time.Duration) {
+// sent, as returned by Start. It returns the service time of the request, without queueing and at no slowdown.
+func (e *Endpoint) Succeeded(took time.Duration, position int, work Work, now time.Duration) time.Duration {
 	e.inFlight--
 	e.failures *= 1 - failureRate
 	e.pause, e.pausedUntil = 0, 0
-	sample := float64(took) / e.queueFactor(position) / e.currentSlowdown(now)
-	e.serviceTime += time.Duration(learnRate * (sample - float64(e.serviceTime)))
+	sample := float64(took) / (work.factor() + e.queue(position)) / e.currentSlowdown(now)
+	mean := e.meanServiceTime(work)
+	e.serviceTime = mean + time.Duration(learnRate*(sample-float64(mean)))
 	e.measured++
+	return time.Duration(sample * work.factor())
 }
 
 // minMeasurements is the number of measurements from which the service time counts as known.
@@ -122,14 +124,14 @@
 // Paused reports whether the backend gets no requests because it could not be reached recently.
 func (e *Endpoint) Paused(now time.Duration) bool { return now < e.pausedUntil }
 
-// ServiceTime returns the expected service time of one request without queueing, at the current slowdown.
-func (e *Endpoint) ServiceTime(now time.Duration) time.Duration {
-	return time.Duration(float64(e.serviceTime) * e.currentSlowdown(now))
+// ServiceTime returns the expected service time of a request without queueing, at the current slowdown.
+func (e *Endpoint) ServiceTime(now time.Duration, work Work) time.Duration {
+	return time.Duration(float64(e.meanServiceTime(work)) * work.factor() * e.currentSlowdown(now))
 }
 
 // Expected returns the expected time until a request that is sent now is answered.
-func (e *Endpoint) Expected(now time.Duration, cold bool) time.Duration {
-	expected := float64(e.serviceTime) * e.currentSlowdown(now) * e.queueFactor(e.TotalInFlight()+1)
+func (e *Endpoint) Expected(now time.Duration, work Work, cold bool) time.Duration {
+	expected := float64(e.meanServiceTime(work)) * e.currentSlowdown(now) * (work.factor() + e.queue(e.TotalInFlight()+1))
 	if cold {
 		expected *= coldFactor
 	}
@@ -137,13 +139,22 @@
 }
 
 // Cost returns the expected time with a penalty for failures. It is used to choose between backends.
-func (e *Endpoint) Cost(now time.Duration, cold bool) time.Duration {
-	return time.Duration(float64(e.Expected(now, cold)) * (1 + failurePenalty*e.failures))
+func (e *Endpoint) Cost(now time.Duration, work Work, cold bool) time.Duration {
+	return time.Duration(float64(e.Expected(now, work, cold)) * (1 + failurePenalty*e.failures))
 }
 
-// queueFactor returns how many times its service time a request takes if it is at the given position on the backend.
-func (e *Endpoint) queueFactor(position int) float64 {
-	return max(1, float64(position)/float64(e.slots))
+// meanServiceTime returns the service time of a request of mean work at this backend. A backend without a measurement counts as one
+// of mean speed.
+func (e *Endpoint) meanServiceTime(work Work) time.Duration {
+	if e.measured == 0 && work.Mean > 0 {
+		return work.Mean
+	}
+	return e.serviceTime
+}
+
+// queue returns how long a request waits for a slot if it is at the given position on the backend, in service times.
+func (e *Endpoint) queue(position int) float64 {
+	return max(0, float64(position)/float64(e.slots)-1)
 }
 
 func (e *Endpoint) currentSlowdown(now time.Duration) float64 {
@@ -152,45 +163,3 @@
 	}
 	return e.slowdown
 }
-
-// Candidate is a backend to which the request may be sent.
-type Candidate struct {
-	Endpoint *Endpoint
-	Cold     bool
-	// SameZone is true for a backend in the instance's own zone.
-	SameZone bool
-	// Preference, from 0 to 1, orders backends of equal cost. It differs between instances and is constant for each of them, so
-	// that instances with the same information do not all choose the same backend, and connections are reused.
-	Preference float64
-}
-
-// Factors of the cost.
-const (
-	// crossZonePenalty makes a backend in another zone more expensive because of the traffic between zones. A backend with a
-	// free slot in another zone costs less than one in the same zone whose slots are all in use.
-	crossZonePenalty = 1.4
-	// preferenceSpread is the range of the factor by which the preference changes the cost.
-	preferenceSpread = 0.3
-	// randomSpread is the range of the random factor, which keeps the entire load of an instance from oscillating between
-	// backends.
-	randomSpread = 0.05
-)
-
-// Choose returns the index of the candidate with the lowest cost, or -1 if there is none. The function random must return
-// numbers from 0 to 1.
-func Choose(now time.Duration, candidates []Candidate, random func() float64) int {
-	best, bestCost := -1, 0.0
-	for i, c := range candidates {
-		if c.Endpoint.Paused(now) || c.Endpoint.HeldOff(now) > 0 {
-			continue
-		}
-		cost := float64(c.Endpoint.Cost(now, c.Cold)) * (1 + preferenceSpread*c.Preference) * (1 + randomSpread*random())
-		if !c.SameZone {
-			cost *= crossZonePenalty
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
-	}
-	return best
-}
--- a/internal/decide/balance/choose_test.go
+++ b/internal/decide/balance/choose_test.go
@@ -24,8 +24,8 @@
 func TestSameZoneIsPreferredWhileItHasFreeSlots(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1)).Float64
 	for range 100 {
-		require.Equal(t, 1, balance.Choose(0, []balance.Candidate{busy(0, false, 0), busy(1, true, 1)}, random))
-		require.Equal(t, 0, balance.Choose(0, []balance.Candidate{busy(0, false, 0.5), busy(2, true, 0.5)}, random))
+		require.Equal(t, 1, balance.Choose(0, balance.Work{}, []balance.Candidate{busy(0, false, 0), busy(1, true, 1)}, 0, random))
+		require.Equal(t, 0, balance.Choose(0, balance.Work{}, []balance.Candidate{busy(0, false, 0.5), busy(2, true, 0.5)}, 0, random))
 	}
 }
 
@@ -35,7 +35,7 @@
 	random := rand.New(rand.NewPCG(2, 1)).Float64
 	chosen := map[int]int{}
 	for range 100 {
-		chosen[balance.Choose(0, []balance.Candidate{busy(0, true, 0.9), busy(0, true, 0.1), busy(1, true, 0.8)}, random)]++
+		chosen[balance.Choose(0, balance.Work{}, []balance.Candidate{busy(0, true, 0.9), busy(0, true, 0.1), busy(1, true, 0.8)}, 0, random)]++
 	}
 	require.GreaterOrEqual(t, chosen[1], 90)
 }
--- a/internal/decide/balance/goal.go
+++ b/internal/decide/balance/goal.go
@@ -15,6 +15,20 @@
 	Priority int
 }
 
+// localFactor is the fraction of the time left until the target within which the answer of a backend in the instance's own zone may
+// be expected for the backend to take precedence over those of other zones. The remainder is for answers that take longer than
+// expected.
+const localFactor = 0.6
+
+// LocalLimit returns the expected time up to which a backend in the instance's own zone takes precedence, zero if the route has no
+// latency target.
+func (g LatencyGoal) LocalLimit() time.Duration {
+	if g.Target <= 0 {
+		return 0
+	}
+	return time.Duration(float64(min(g.Target-g.Waited, g.Remaining)) * localFactor)
+}
+
 // Factors that limit the expected time within which a request is worth sending.
 const (
 	// lateFactor is how late an answer may be expected, as a multiple of its target. Under steady overload, a longer queue
--- a/internal/decide/balance/holdoff_test.go
+++ b/internal/decide/balance/holdoff_test.go
@@ -14,15 +14,15 @@
 	candidates := []Candidate{{Endpoint: busy, SameZone: true}, {Endpoint: free}}
 	now, none := time.Second, func() float64 { return 0 }
 	position := busy.Start()
-	require.Equal(t, 0, Choose(now, candidates, none))
+	require.Equal(t, 0, Choose(now, Work{}, candidates, 0, none))
 	busy.HoldOff(2*time.Second, now)
 	busy.HoldOff(time.Second, now) // a shorter time does not end a longer one
-	busy.Succeeded(50*time.Millisecond, position, now)
-	require.Equal(t, 1, Choose(now+1999*time.Millisecond, candidates, none))
-	require.Equal(t, -1, Choose(now, candidates[:1], none))
-	require.Equal(t, 0, Choose(now+2*time.Second, candidates[:1], none))
+	busy.Succeeded(50*time.Millisecond, position, Work{}, now)
+	require.Equal(t, 1, Choose(now+1999*time.Millisecond, Work{}, candidates, 0, none))
+	require.Equal(t, -1, Choose(now, Work{}, candidates[:1], 0, none))
+	require.Equal(t, 0, Choose(now+2*time.Second, Work{}, candidates[:1], 0, none))
 	busy.HoldOff(time.Hour, now)
-	require.Equal(t, 0, Choose(now+maxHoldOff, candidates[:1], none))
+	require.Equal(t, 0, Choose(now+maxHoldOff, Work{}, candidates[:1], 0, none))
 }
 
 // Guards against callers that all return at the moment at which the backend accepts requests again, or before.
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -25,14 +25,15 @@
 		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: b.WarmUntil > q.Now, SameZone: b.Zone == q.Zone, Preference: e.preference})
 		backends = append(backends, b)
 	}
+	work := s.workTimes(q.Service.Name).Of(q.Route)
 	for {
-		i := balance.Choose(q.Now, candidates, rand.Float64)
+		i := balance.Choose(q.Now, work, candidates, q.Goal.LocalLimit(), rand.Float64)
 		if i < 0 {
 			return s.noneUsable(candidates, q.Now), service.Attempt{}
 		}
 		b, c := backends[i], candidates[i]
-		expected := c.Endpoint.Expected(q.Now, c.Cold)
-		if ok, retry := balance.WorthSending(expected, c.Endpoint.ServiceTime(q.Now), q.Goal); !ok {
+		expected := c.Endpoint.Expected(q.Now, work, c.Cold)
+		if ok, retry := balance.WorthSending(expected, c.Endpoint.ServiceTime(q.Now, work), q.Goal); !ok {
 			s.refusedLoad.Inc(1)
 			acceptance := s.acceptance(q, b.ID)
 			acceptance.Record(false, q.Now)
@@ -46,7 +47,8 @@
 			continue
 		}
 		s.acceptance(q, b.ID).Record(true, q.Now)
-		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now}
+		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now,
+			Service: q.Service.Name, Route: q.Route, Work: work}
 	}
 }
 
@@ -59,6 +61,16 @@
 	return service.Choice{Reason: entity.ReasonUnreachable, RetryAfter: unreachableRetry}
 }
 
+// workTimes returns the service times of a service. The caller holds the lock.
+func (s *Service) workTimes(name entity.ServiceName) *balance.WorkTimes {
+	w := s.work[name]
+	if w == nil {
+		w = &balance.WorkTimes{}
+		s.work[name] = w
+	}
+	return w
+}
+
 // acceptance returns the acceptance rate that applies to a request: that of the owner of its key, or that of its service if the
 // service is not partitioned. The caller holds the lock.
 func (s *Service) acceptance(q service.LoadQuery, owner entity.BackendID) *balance.AcceptanceRate {
@@ -114,7 +126,8 @@
 	case r.Misdirected || r.Outcome.IsCanceled():
 		e.Abandoned()
 	case r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors:
-		e.Succeeded(now-a.Sent, a.Position, now)
+		served := e.Succeeded(now-a.Sent, a.Position, a.Work, now)
+		s.workTimes(a.Service).Record(a.Route, served)
 	case r.Outcome.Reason == entity.ReasonUnreachable:
 		e.Unreachable(now)
 	default:
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -44,6 +44,7 @@
 	retryBudgets    map[entity.ServiceName]*retryBudget
 	weightsByRoute  map[string]*targetWeights
 	acceptances     map[entity.ServiceName]*balance.AcceptanceRate
+	work            map[entity.ServiceName]*balance.WorkTimes
 	peerUsages      map[entity.InstanceID]map[uint32]peerUsage
 	keys            []uint32
 	crashes         crashes
@@ -86,6 +87,7 @@
 		retryBudgets:    map[entity.ServiceName]*retryBudget{},
 		weightsByRoute:  map[string]*targetWeights{},
 		acceptances:     map[entity.ServiceName]*balance.AcceptanceRate{},
+		work:            map[entity.ServiceName]*balance.WorkTimes{},
 		peerUsages:      map[entity.InstanceID]map[uint32]peerUsage{},
 		crashes:         newCrashes(),
 		leaving:         leavingReports{},
@@ -166,6 +168,18 @@
 			s.customer(c, t.Now())
 		}
 	}
+	s.forgetRoutes()
+}
+
+// forgetRoutes drops the service times of routes that are not configured any more. The caller holds the lock.
+func (s *Service) forgetRoutes() {
+	configured := make(map[string]bool, len(s.config.Routes))
+	for _, r := range s.config.Routes {
+		configured[r.Name] = true
+	}
+	for _, w := range s.work {
+		w.KeepRoutes(func(route string) bool { return configured[route] })
+	}
 }
 
 // CountRequest implements service.LoadTracker.
--- a/internal/service/router/choose.go
+++ b/internal/service/router/choose.go
@@ -139,7 +139,7 @@
 func (s *Service) choose(c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
 	now := s.kernel.Now()
 	return s.loads.Choose(service.LoadQuery{
-		Service: c.service, Candidates: candidates, Excluded: c.tried, Zone: s.instance.Zone,
+		Service: c.service, Route: c.route.Name, Candidates: candidates, Excluded: c.tried, Zone: s.instance.Zone,
 		Instances: s.members.MembersView().ReachableCount, Now: now,
 		Goal: balance.LatencyGoal{
 			Target: c.route.LatencyTarget, Remaining: c.deadline - now, Waited: now - c.call.Received, Priority: c.priority,
--- a/internal/service/store_instance.go
+++ b/internal/service/store_instance.go
@@ -321,6 +321,10 @@
 	Incarnation int64 // of the backend process
 	Position    int   // requests at the backend when it was sent, itself included
 	Sent        time.Duration
+	// Service, Route and Work are those of the request.
+	Service entity.ServiceName
+	Route   string
+	Work    balance.Work
 }
 
 // Choice is the backend chosen for a request, or the reason why there is none.
@@ -365,6 +369,7 @@
 // LoadQuery contains the criteria by which LoadTracker chooses a backend.
 type LoadQuery struct {
 	Service    *catalog.Service
+	Route      string
 	Candidates []*catalog.Backend
 	// Excluded contains backends that were already tried.
 	Excluded  map[entity.BackendID]bool
