Spend less processor time on heartbeats in large deployments

Each heartbeat visited all backends (28 us for 396), each interval collected and encoded a report although most intervals send none, each instance sent the store updates of its zone although peers use only those of the zone reader, and the view of the peers and the zone reader were computed anew for each heartbeat.

A backend that is used for the first time counts the requests that peers have reported there; they were missing until their next report.

--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -46,6 +46,7 @@
 	acceptances     map[entity.ServiceName]*balance.AcceptanceRate
 	work            map[entity.ServiceName]*balance.WorkTimes
 	peerUsages      map[entity.InstanceID]map[uint32]peerUsage
+	peerInFlight    map[entity.InstanceID]map[uint32]uint32 // last report of each peer, by short hash of the backend
 	keys            []uint32
 	crashes         crashes
 	leaving         leavingReports
@@ -89,6 +90,7 @@
 		acceptances:     map[entity.ServiceName]*balance.AcceptanceRate{},
 		work:            map[entity.ServiceName]*balance.WorkTimes{},
 		peerUsages:      map[entity.InstanceID]map[uint32]peerUsage{},
+		peerInFlight:    map[entity.InstanceID]map[uint32]uint32{},
 		crashes:         newCrashes(),
 		leaving:         leavingReports{},
 		refusedRates:    metrics.GetOrRegisterCounter("loads.refused_rate", r),
@@ -134,6 +136,9 @@
 			preference: float64(shortHash(string(s.instance.ID)+string(b.ID))) / math.MaxUint32, lastUsed: now,
 		}
 		s.endpoints[b.ID], s.endpointsByHash[e.hash] = e, e
+		for peer, reported := range s.peerInFlight {
+			e.SetPeerInFlight(peer, int(reported[e.hash]))
+		}
 		s.dropIdle(now)
 	}
 	e.lastUsed = now
--- a/internal/service/loads/peers.go
+++ b/internal/service/loads/peers.go
@@ -40,9 +40,7 @@
 func (s *Service) ApplyPeerReport(p service.PeerTraffic, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range s.endpoints {
-		e.SetPeerInFlight(p.Instance, int(p.InFlight[e.hash]))
-	}
+	s.applyPeerInFlight(p.Instance, p.InFlight)
 	for hash, n := range p.ColdSent {
 		if e := s.endpointsByHash[hash]; e != nil {
 			e.warmup.SetPeerCount(string(p.Instance), int(n), now)
@@ -52,6 +50,26 @@
 	s.applyPeerCrashes(p.Instance, p.Crashing, now)
 }
 
+// applyPeerInFlight replaces the numbers of requests that a peer has in flight, by short hash of the backend. It visits only the
+// backends in the peer's last two reports, since there are hundreds of peers and backends. The caller holds the lock.
+func (s *Service) applyPeerInFlight(peer entity.InstanceID, reported map[uint32]uint32) {
+	for hash := range s.peerInFlight[peer] {
+		if e := s.endpointsByHash[hash]; e != nil && reported[hash] == 0 {
+			e.SetPeerInFlight(peer, 0)
+		}
+	}
+	for hash, n := range reported {
+		if e := s.endpointsByHash[hash]; e != nil {
+			e.SetPeerInFlight(peer, int(n))
+		}
+	}
+	if len(reported) == 0 {
+		delete(s.peerInFlight, peer)
+		return
+	}
+	s.peerInFlight[peer] = reported
+}
+
 // peerUsage is what a peer has reported about a customer: admitted requests, and all requests.
 type peerUsage struct{ admitted, demand uint64 }
 
@@ -87,7 +105,5 @@
 	defer s.mu.Unlock()
 	delete(s.peerUsages, id)
 	delete(s.crashes.peerReports, id)
-	for _, e := range s.endpoints {
-		e.SetPeerInFlight(id, 0)
-	}
+	s.applyPeerInFlight(id, nil)
 }
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -103,10 +103,11 @@
 	keys            service.KeyReport
 	sequence        uint64
 	ticks           uint64
-	pending         []uint32 // keys to report to the coordinator
-	reachableInZone int      // reachable peers in the zone
-	zoneInterval    uint64   // intervals between two heartbeats in the zone
-	remoteInterval  uint64   // intervals between two heartbeats to other zones
+	pending         []uint32          // keys to report to the coordinator
+	reachableInZone int               // reachable peers in the zone
+	reader          entity.InstanceID // see zoneReader; determined at each interval
+	zoneInterval    uint64            // intervals between two heartbeats in the zone
+	remoteInterval  uint64            // intervals between two heartbeats to other zones
 	leaving         bool
 	listRead        bool   // the list of instances has been read
 	relayOffset     uint64 // index of the first relay in the rotation
--- a/internal/service/members/members_test.go
+++ b/internal/service/members/members_test.go
@@ -42,7 +42,8 @@
 	storeSync := &fakeStoreSync{}
 	s.storeSync = storeSync
 	s.instance.Cores = 0
-	reader := s.peers[s.zoneReader()]
+	s.reader = s.zoneReader()
+	reader := s.peers[s.reader]
 	message := &fleetpb.Heartbeat{Sequence: 4}
 	s.receiveStoreUpdate(reader, message, time.Second)
 	require.Empty(t, storeSync.received)
@@ -109,12 +110,17 @@
 // Guards against store updates that are lost between two instances, and against sending them where no instance uses them.
 func TestStoreUpdatesAreSentInLargeZones(t *testing.T) {
 	message := &fleetpb.Heartbeat{Sequence: 4}
-	sent := newMembers(sharedReads).withStoreUpdate(message)
+	s := newMembers(sharedReads)
+	require.Empty(t, s.zoneHeartbeat(message).News, "peers use only the update of the zone reader")
+	s.reader = s.instance.ID
+	sent := s.zoneHeartbeat(message)
 	require.Equal(t, uint64(4), sent.Sequence)
 	received := storeUpdateOf(sent)
 	require.Equal(t, staticStoreSync{}.LocalUpdate(), received)
 	require.Empty(t, message.News, "the heartbeat to other zones carries none")
-	require.Empty(t, newMembers(sharedReads-1).withStoreUpdate(message).News)
+	small := newMembers(sharedReads - 1)
+	small.reader = small.instance.ID
+	require.Empty(t, small.zoneHeartbeat(message).News)
 }
 
 // Guards against a customer that exceeds its rate while a zone is isolated: both sides of the partition used the full rate for
@@ -170,3 +176,19 @@
 		require.LessOrEqual(t, sent/10, bound, "zones of %d", zone+1)
 	}
 }
+
+// Guards against instances that collect and encode a report of all backends and customers ten times a second although they send only
+// two heartbeats a second: the control of 195 instances took most of their processor time.
+func TestReportIsCollectedOnlyForHeartbeats(t *testing.T) {
+	s := newMultiZoneMember(38)
+	s.reader = s.instance.ID
+	collected := 0
+	for range uint64(10 * time.Second / interval) {
+		s.ticks++
+		if len(s.duePeers()) > 0 || s.ticks%s.zoneInterval == 0 {
+			collected++
+		}
+	}
+	require.LessOrEqual(t, collected, 25)
+	require.GreaterOrEqual(t, collected, 20)
+}
--- a/internal/service/members/send.go
+++ b/internal/service/members/send.go
@@ -27,15 +27,41 @@
 	for id, p := range s.peers {
 		s.expirePeer(id, p, now)
 	}
-	report := s.traffic.Report(now, now < s.fullUntil)
-	s.pending = append(s.pending, report.Keys...)
-	s.reportLeaving(t, report.Leaving)
-	message := s.compose(report)
-	zoneDatagram, remoteDatagram := s.encode(s.withStoreUpdate(message)), s.encode(message)
-	relays := s.relays()
+	s.reader = s.zoneReader()
+	if due := s.duePeers(); len(due) > 0 || s.ticks%s.zoneInterval == 0 {
+		report := s.traffic.Report(now, now < s.fullUntil)
+		s.pending = append(s.pending, report.Keys...)
+		s.reportLeaving(t, report.Leaving)
+		s.sendTo(due, s.compose(report))
+	}
+	s.reportKeys(t)
+	s.publish(now)
+}
+
+// duePeers returns the peers to which a heartbeat is due in this interval. Most intervals of a large deployment have none.
+func (s *Service) duePeers() []*peer {
+	var due []*peer
 	for _, p := range s.peers {
+		if s.due(p) {
+			due = append(due, p)
+		}
+	}
+	return due
+}
+
+// sendTo sends a heartbeat to peers, to those in large other zones through relays.
+func (s *Service) sendTo(due []*peer, message *fleetpb.Heartbeat) {
+	var relays []*peer
+	if s.ticks%s.remoteInterval == 0 {
+		relays = s.relays()
+	}
+	remoteDatagram := s.encode(message)
+	zoneDatagram := remoteDatagram
+	if inZone := s.zoneHeartbeat(message); inZone != message {
+		zoneDatagram = s.encode(inZone)
+	}
+	for _, p := range due {
 		switch {
-		case !s.due(p):
 		case p.zone == s.instance.Zone:
 			s.write(p, zoneDatagram)
 		case s.reachedByRelay(p, relays):
@@ -43,13 +69,10 @@
 			s.write(p, remoteDatagram)
 		}
 	}
-	if len(relays) > 0 && s.ticks%s.remoteInterval == 0 {
+	if len(relays) > 0 {
 		message.PassOn = true
 		s.send(message, relays...)
-		message.PassOn = false
 	}
-	s.reportKeys(t)
-	s.publish(now)
 }
 
 // reportLeaving sends the backends that are leaving, as stated to this instance or to a peer, to the directory.
@@ -113,11 +136,16 @@
 // millicores is the number of millicores in a core.
 const millicores = 1000
 
-// withStoreUpdate returns the heartbeat for the peers in this instance's zone. In large zones it carries the store update.
-func (s *Service) withStoreUpdate(m *fleetpb.Heartbeat) *fleetpb.Heartbeat {
-	if s.reachableInZone < sharedReads {
-		return m // each instance reads the store itself
+// zoneHeartbeat returns the heartbeat for the peers in this instance's zone. That of the zone reader carries the store update; peers
+// ignore those of other instances.
+func (s *Service) zoneHeartbeat(m *fleetpb.Heartbeat) *fleetpb.Heartbeat {
+	if s.reachableInZone < sharedReads || s.reader != s.instance.ID {
+		return m
 	}
+	return s.withStoreUpdate(m)
+}
+
+func (s *Service) withStoreUpdate(m *fleetpb.Heartbeat) *fleetpb.Heartbeat {
 	local := s.storeSync.LocalUpdate()
 	zoneMessage := proto.CloneOf(m)
 	zoneMessage.NewsRead, zoneMessage.NewsChanged, zoneMessage.NewsOperator = local.EntriesOffset, local.LastChangeOffset, local.OperatorOffset
