Let traffic reports cover two heartbeats at any interval

Cause: a report omitted customers without a request in the last 2.2 s. With 156 peers in other zones heartbeats are sent there every 3.2 s, so the last admissions of a customer could be left out of every report.

Change: members passes the time that a report must cover, two heartbeats at the longest interval.

--- a/internal/service/loads/leaving.go
+++ b/internal/service/loads/leaving.go
@@ -8,14 +8,8 @@
 	"github.com/pollenpier/pollenpier/internal/decide/keyrange"
 )
 
-// Limits of the backends that are reported as leaving.
-const (
-	// reportLeavingFor is how long after its last such answer a backend is reported. It covers two heartbeats at the longest
-	// interval, in case one of them is lost.
-	reportLeavingFor = publishWindow
-	// maxLeavingReported bounds the backends in one report, which has to fit into a datagram. The latest are reported.
-	maxLeavingReported = 256
-)
+// maxLeavingReported bounds the backends in one report, which has to fit into a datagram. The latest are reported.
+const maxLeavingReported = 256
 
 // leavingReports contains the backend processes that have stated in an answer that they are leaving, and when they last did. It is
 // guarded by the lock of the Service.
@@ -23,11 +17,11 @@
 
 func (l leavingReports) record(process keyrange.Holder, now time.Duration) { l[process] = now }
 
-// recent returns the processes to report and forgets those that no longer are.
-func (l leavingReports) recent(now time.Duration) []uint64 {
+// recent returns the processes that stated it in the window before now, and forgets the others.
+func (l leavingReports) recent(now, window time.Duration) []uint64 {
 	var processes []keyrange.Holder
 	for process, at := range l {
-		if now-at > reportLeavingFor {
+		if now-at > window {
 			delete(l, process)
 			continue
 		}
--- a/internal/service/loads/leaving_test.go
+++ b/internal/service/loads/leaving_test.go
@@ -29,9 +29,9 @@
 	_, attempt := chooseOf(s, time.Second, b)
 	s.FinishAttempt(attempt, &service.DeliveryResult{Outcome: entity.Answered(), Status: 200, Leaving: true}, time.Second)
 	want := []uint64{keyrange.Holder{ID: "a", Incarnation: 3}.Hash()}
-	require.Equal(t, want, s.Report(time.Second, false).Leaving)
-	require.Equal(t, want, s.Report(3*time.Second, false).Leaving)
-	require.Empty(t, s.Report(time.Minute, false).Leaving)
+	require.Equal(t, want, s.Report(time.Second, window, false).Leaving)
+	require.Equal(t, want, s.Report(3*time.Second, window, false).Leaving)
+	require.Empty(t, s.Report(time.Minute, window, false).Leaving)
 }
 
 // Guards against requests to a process that asked for none, and against a new process under the same id that gets none because of
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -67,10 +67,6 @@
 	preference float64
 }
 
-// publishWindow is how long after a request a customer's counts are included in heartbeats. It covers two heartbeats at the
-// longest interval, in case one of them is lost.
-const publishWindow = 2200 * time.Millisecond
-
 // retryBudget holds the retry tokens that are left for a service.
 type retryBudget struct{ tokens float64 }
 
--- a/internal/service/loads/loads_test.go
+++ b/internal/service/loads/loads_test.go
@@ -18,11 +18,14 @@
 
 var testInstance = service.InstanceConfig{ID: "one", Zone: "a", RetryRatio: 0.2, RetrySlack: 64}
 
+// window is the time that a report covers.
+const window = 2200 * time.Millisecond
+
 func newLoads() *loads.Service { return loads.New(testInstance, metrics.NewRegistry()) }
 
 // exchange applies the report of a at b.
 func exchange(a, b *loads.Service, from entity.InstanceID, now time.Duration) {
-	b.ApplyPeerReport(service.PeerTraffic{Instance: from, TrafficReport: a.Report(now, true)}, now)
+	b.ApplyPeerReport(service.PeerTraffic{Instance: from, TrafficReport: a.Report(now, window, true)}, now)
 }
 
 // Guards against a request that crashes one backend after another: after two crashes every instance must quarantine it, including
@@ -222,13 +225,13 @@
 		require.True(t, ok)
 	}
 	now += time.Minute
-	require.Empty(t, other.Report(now, false).Admitted, "nothing was admitted within the publish window")
+	require.Empty(t, other.Report(now, window, false).Admitted, "nothing was admitted within the publish window")
 	restarted := newLoads()
 	exchange(other, restarted, "other", now) // lists all customers
 	_, _ = restarted.Admit(c, members, now)
 	ok, _ := other.Admit(c, members, now+time.Second)
 	require.True(t, ok)
-	next := other.Report(now+time.Second, false)
+	next := other.Report(now+time.Second, window, false)
 	require.Len(t, next.Admitted, 1)
 	restarted.ApplyPeerReport(service.PeerTraffic{Instance: "other", TrafficReport: next}, now+time.Second)
 	for range 200 {
--- a/internal/service/loads/peers.go
+++ b/internal/service/loads/peers.go
@@ -9,7 +9,7 @@
 )
 
 // Report implements service.TrafficExchange.
-func (s *Service) Report(now time.Duration, full bool) service.TrafficReport {
+func (s *Service) Report(now, window time.Duration, full bool) service.TrafficReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := service.TrafficReport{InFlight: map[uint32]uint32{}, ColdSent: map[uint32]uint32{}, Admitted: map[uint32]uint64{}, Refused: map[uint32]uint64{}}
@@ -23,7 +23,7 @@
 	}
 	for _, c := range s.customers {
 		demand := c.admitted + c.refused
-		if c.rate > 0 && (full || (demand > 0 && now-c.lastRequestAt <= publishWindow)) {
+		if c.rate > 0 && (full || (demand > 0 && now-c.lastRequestAt <= window)) {
 			r.Admitted[c.hash], r.Refused[c.hash] = c.admitted, c.refused
 			c.reported = c.admitted
 			c.bucket.AddReportedDemand(float64(demand-min(c.published, demand)), now)
@@ -32,7 +32,7 @@
 	}
 	r.Keys, s.keys = s.keys, nil
 	r.Crashing = slices.Clone(s.crashes.reported)
-	r.Leaving = s.leaving.recent(now)
+	r.Leaving = s.leaving.recent(now, window)
 	return r
 }
 
--- a/internal/service/loads/peers_test.go
+++ b/internal/service/loads/peers_test.go
@@ -60,7 +60,7 @@
 		for j := range 10 {
 			chooseOf(peer, time.Second, backends[(i*7+j)%len(backends)])
 		}
-		reports[i] = service.PeerTraffic{Instance: entity.InstanceID(fmt.Sprint("i", i)), TrafficReport: peer.Report(time.Second, true)}
+		reports[i] = service.PeerTraffic{Instance: entity.InstanceID(fmt.Sprint("i", i)), TrafficReport: peer.Report(time.Second, window, true)}
 	}
 	b.ResetTimer()
 	for i := range b.N {
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -50,6 +50,8 @@
 	// limit is maxMissedHeartbeats intervals.
 	peerTimeout         = time.Second
 	maxMissedHeartbeats = 4
+	// minReportWindow bounds half of the time that a traffic report covers.
+	minReportWindow = time.Second
 	// fullReports is how long heartbeats list all customers after the first heartbeat of a peer. It spans several heartbeats, so
 	// that some of them arrive.
 	fullReports = 4 * time.Second
--- a/internal/service/members/send.go
+++ b/internal/service/members/send.go
@@ -29,7 +29,7 @@
 	}
 	s.reader = s.zoneReader()
 	if due := s.duePeers(); len(due) > 0 || s.ticks%s.zoneInterval == 0 {
-		report := s.traffic.Report(now, now < s.fullUntil)
+		report := s.traffic.Report(now, s.reportWindow(), now < s.fullUntil)
 		s.pending = append(s.pending, report.Keys...)
 		s.reportLeaving(t, report.Leaving)
 		s.sendTo(due, s.compose(report))
@@ -99,7 +99,7 @@
 func (s *Service) broadcast() {
 	s.sequence++
 	now := s.kernel.Now()
-	report := s.traffic.Report(now, now < s.fullUntil)
+	report := s.traffic.Report(now, s.reportWindow(), now < s.fullUntil)
 	s.pending = append(s.pending, report.Keys...)
 	message := s.compose(report)
 	if c := s.keys.Change; c != nil {
@@ -244,6 +244,12 @@
 	return time.Duration(max(s.zoneInterval, s.remoteInterval)) * interval
 }
 
+// reportWindow returns the time that a traffic report covers. It is longer than two heartbeats at the longest interval, in case one of
+// them is lost.
+func (s *Service) reportWindow() time.Duration {
+	return 2*max(s.staleness(), minReportWindow) + interval
+}
+
 // timeout returns how long after its last heartbeat a peer still counts as reachable.
 func (s *Service) timeout() time.Duration { return max(peerTimeout, maxMissedHeartbeats*s.staleness()) }
 
--- a/internal/service/store_instance.go
+++ b/internal/service/store_instance.go
@@ -246,9 +246,9 @@
 // TrafficExchange is the interface through which members exchanges traffic reports with peers. Its methods are safe for
 // concurrent use and never block.
 type TrafficExchange interface {
-	// Report returns the traffic report of this instance. It omits customers without recent requests unless full is set.
-	// Full must be set for peers that have not received the earlier numbers.
-	Report(now time.Duration, full bool) TrafficReport
+	// Report returns the traffic report of this instance. It omits customers without requests, and backends without answers, in
+	// the window before now, unless full is set. Full must be set for peers that have not received the earlier numbers.
+	Report(now, window time.Duration, full bool) TrafficReport
 	// ApplyPeerReport applies the traffic report of a peer.
 	ApplyPeerReport(peer PeerTraffic, now time.Duration)
 	// ForgetPeer discards the reports of a peer.
