Count reports of peers as late until the list of instances has been read

All 73 instances were killed at 13.0 s and started at 13.5 s; they read the list of instances at 13.9 s. Until then each had heard a few peers only, so its heartbeat intervals, and with them the staleness that it published, were those of a deployment of three. The limit for late reports did not apply, and the instances admitted 668 requests of one customer in 0.4 s at a rate of 267.

Change: until the list has been read, the staleness is at least one second. Ruled out: the initial tokens of the share of an overloaded customer (no difference in a simulation of the restart).

--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -50,6 +50,8 @@
 	// limit is maxMissedHeartbeats intervals.
 	peerTimeout         = time.Second
 	maxMissedHeartbeats = 4
+	// unlistedStaleness is the age assumed until the list of instances has been read.
+	unlistedStaleness = time.Second
 	// minReportWindow bounds half of the time that a traffic report covers.
 	minReportWindow = time.Second
 	// fullReports is how long heartbeats list all customers after the first heartbeat of a peer. It spans several heartbeats, so
--- a/internal/service/members/members_test.go
+++ b/internal/service/members/members_test.go
@@ -192,3 +192,14 @@
 	require.LessOrEqual(t, collected, 25)
 	require.GreaterOrEqual(t, collected, 20)
 }
+
+// Guards against instances that all start at once and, until they have read the list of instances, take the few peers that they have
+// heard for all there are: each then admitted a customer's requests as in a deployment of three.
+func TestReportsCountAsLateUntilTheListIsRead(t *testing.T) {
+	s := newMembers(2)
+	require.Less(t, s.staleness(), unlistedStaleness)
+	s.listRead = false
+	s.publish(2 * time.Second)
+	require.Equal(t, unlistedStaleness, s.MembersView().Staleness)
+	require.Equal(t, assumedInstances, s.MembersView().ReachableCount)
+}
--- a/internal/service/members/send.go
+++ b/internal/service/members/send.go
@@ -239,9 +239,14 @@
 	s.remoteInterval = remoteFactor * uint64(1+max(remote-1, 0)/remotePeers)
 }
 
-// staleness returns the maximum age of what peers report.
+// staleness returns the maximum age of what peers report. Until the list of instances has been read, there may be many peers that
+// were not heard yet, whose heartbeats are infrequent.
 func (s *Service) staleness() time.Duration {
-	return time.Duration(max(s.zoneInterval, s.remoteInterval)) * interval
+	age := time.Duration(max(s.zoneInterval, s.remoteInterval)) * interval
+	if !s.listRead {
+		return max(age, unlistedStaleness)
+	}
+	return age
 }
 
 // reportWindow returns the time that a traffic report covers. It is longer than two heartbeats at the longest interval, in case one of
