Refer callers to other instances only during a stop

Cause: found by reading: since the router decides about stops, a refusal for want of a configuration had a Retry-After of 10 ms too. After a restart of all instances callers would use up their retries before any instance can serve. Change: only a stopping instance sends it; a test covers both.

--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -137,7 +137,7 @@
 func (s *Service) serve(ctx context.Context, c *request) service.Reply {
 	s.awaitViews(ctx, c)
 	if outcome, ok := s.check(c); !ok {
-		return service.Reply{Outcome: outcome, RetryAfter: retryElsewhere(outcome)}
+		return service.Reply{Outcome: outcome, RetryAfter: c.retryElsewhere(outcome)}
 	}
 	if s.isQuarantined(c) {
 		return service.Reply{Outcome: entity.NotRun(entity.ReasonQuarantined, "backends crashed while they ran the request"), RetryAfter: crashRetry}
@@ -154,12 +154,13 @@
 	return reply
 }
 
-// stoppingRetry is the time after which a caller may retry at another instance if this one is stopping or has just started.
+// stoppingRetry is the time after which a caller may retry at another instance if this one is stopping.
 const stoppingRetry = 10 * time.Millisecond
 
-// retryElsewhere returns the time after which a caller may retry a request that was refused before it was admitted.
-func retryElsewhere(o entity.Outcome) time.Duration {
-	if o.Reason == entity.ReasonStopping {
+// retryElsewhere returns the time after which a caller may retry a request that was refused before it was admitted. It is zero unless
+// this instance is stopping: instances without a configuration have all just started, so the others may have none either.
+func (c *request) retryElsewhere(o entity.Outcome) time.Duration {
+	if c.call.Stop.StopBy != 0 && o.Reason == entity.ReasonStopping {
 		return stoppingRetry
 	}
 	return 0
--- a/internal/service/router/router_test.go
+++ b/internal/service/router/router_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
+	"github.com/pollenpier/pollenpier/internal/decide/shutdown"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
@@ -204,3 +205,24 @@
 		require.Equal(t, list[2].ID, id)
 	}
 }
+
+// Guards against callers of an instance without a configuration that use up their retries within milliseconds: after a restart of all
+// instances the others have none either. A stopping instance refers its callers to the others at once.
+func TestOnlyAStoppingInstanceRefersToOthers(t *testing.T) {
+	b := newTestRouter(t, unlimited())
+	b.endpoints.answer = succeeding
+	now := b.clock.Now()
+	call := &service.Call{
+		ID: "r", Method: http.MethodGet, Host: host, Path: "/lookups/1", Credential: key, Received: now, Deadline: now + time.Minute,
+		Stop: shutdown.Schedule{StopBy: now + time.Second},
+	}
+	reply := b.router.Route(t.Context(), call)
+	require.Equal(t, entity.ReasonStopping, reply.Outcome.Reason)
+	require.Positive(t, reply.RetryAfter)
+	b.directory.view = &service.DirectoryView{}
+	b.clock.Advance(time.Minute)
+	call.Stop = shutdown.Schedule{}
+	reply = b.router.Route(t.Context(), call)
+	require.Equal(t, entity.ReasonStopping, reply.Outcome.Reason)
+	require.Zero(t, reply.RetryAfter)
+}
