Log why a range may be granted, and which requests go to cold backends

Change: event 2128 is of level info and names the TTL, the basis (released, expired, terminated, unowned) and how long ago the previous owner's last grant ended by the coordinator's count. Events 2130 and 2131 report a change of the grants' TTL and a process that counts as terminated, with the evidence. Calls and attempts that went to a backend known to be cold say so; router.sent_cold counts them.

Measured: TestGrantStatesWhyThePreviousOwnerHasNoGrant; the logic of grants is unchanged.

--- a/internal/decide/keyrange/commands.go
+++ b/internal/decide/keyrange/commands.go
@@ -15,6 +15,35 @@
 	KindRelease
 )
 
+// Basis is the reason why the previous owner of a range can have no valid grant any more.
+type Basis uint8
+
+// Bases of a grant.
+const (
+	// BasisUnowned means that the range had no previous owner, or that the table does not name it any more.
+	BasisUnowned Basis = iota
+	// BasisReleased means that the previous owner has acknowledged the release.
+	BasisReleased
+	// BasisExpired means that the last grant of the previous owner has expired.
+	BasisExpired
+	// BasisTerminated means that the process of the previous owner has terminated.
+	BasisTerminated
+)
+
+// String returns the name used in log lines.
+func (b Basis) String() string {
+	switch b {
+	case BasisReleased:
+		return "released"
+	case BasisExpired:
+		return "expired"
+	case BasisTerminated:
+		return "terminated"
+	default:
+		return "unowned"
+	}
+}
+
 // Command is a call to a backend.
 type Command struct {
 	Kind     Kind
@@ -28,6 +57,10 @@
 	// passed until it sends the command.
 	TTL      time.Duration
 	Handover string // passed from the release to the grant, so that the keys stay warm at the new owner
+	// Basis is why a grant may be sent. PreviousUntil is the latest time at which the previous owner could have a valid grant, as
+	// far as the coordinator knows. Both are for the log.
+	Basis         Basis
+	PreviousUntil time.Duration
 }
 
 // Outcome describes what the coordinator knows about the execution of a command.
--- a/internal/decide/keyrange/executor.go
+++ b/internal/decide/keyrange/executor.go
@@ -47,6 +47,7 @@
 	inFlight bool // a command is in flight
 	next     time.Duration
 	handover string
+	basis    Basis
 	// answeredUntil, unansweredUntil and pendingUntil are the latest times at which the owner can still have a valid grant:
 	// by the grants that were answered, by those that got no answer, and by the one in flight.
 	answeredUntil, unansweredUntil, pendingUntil time.Duration
@@ -59,6 +60,19 @@
 	return max(p.answeredUntil, p.unansweredUntil, p.pendingUntil)
 }
 
+// endWait lets the range be granted if its previous owner has terminated or its last grant has expired.
+func (p *progress) endWait(terminated bool, now time.Duration) {
+	switch {
+	case terminated:
+		p.basis = BasisTerminated
+	case now >= p.previousOwnerUntil:
+		p.basis = BasisExpired
+	default:
+		return
+	}
+	p.stage, p.next = stageGrant, now
+}
+
 type rangeID struct {
 	service  entity.ServiceName
 	from, to uint32
@@ -93,8 +107,12 @@
 
 func withDrift(d time.Duration) time.Duration { return d + time.Duration(float64(d)*clockDrift) }
 
-// UseLongTTL sets whether the next grants use LongGrantTTL.
-func (e *Executor) UseLongTTL(use bool) { e.longTTL = use }
+// UseLongTTL sets whether the next grants use LongGrantTTL. It reports whether that is a change.
+func (e *Executor) UseLongTTL(use bool) bool {
+	changed := e.longTTL != use
+	e.longTTL = use
+	return changed
+}
 
 // ConfirmTable records a time at which the table was known to be the newest.
 func (e *Executor) ConfirmTable(at time.Duration) { e.confirmedAt = max(e.confirmedAt, at) }
@@ -204,8 +222,8 @@
 	if p == nil || p.inFlight || terminated(r.Owner) {
 		return Command{}, false
 	}
-	if p.stage == stageRelease && (terminated(r.PreviousOwner) || now >= p.previousOwnerUntil) {
-		p.stage, p.next = stageGrant, now
+	if p.stage == stageRelease {
+		p.endWait(terminated(r.PreviousOwner), now)
 	}
 	target := r.Owner
 	if p.stage == stageRelease {
@@ -223,6 +241,7 @@
 		return command, true
 	}
 	command.Kind, command.TTL, command.Handover = KindGrant, ttl, p.handover
+	command.Basis, command.PreviousUntil = p.basis, p.previousOwnerUntil
 	p.pendingUntil = now + maxCommandTime + withDrift(command.TTL)
 	return command, true
 }
@@ -263,7 +282,7 @@
 func (e *Executor) handleRelease(p *progress, result Result, now time.Duration) {
 	switch result.Outcome {
 	case Done:
-		p.stage, p.next, p.handover = stageGrant, now, result.Handover
+		p.stage, p.next, p.handover, p.basis = stageGrant, now, result.Handover, BasisReleased
 	case Refused, NotSent, OtherProcess, NoAnswer:
 		p.next = now + e.timing.Retry
 	}
--- a/internal/decide/keyrange/executor_test.go
+++ b/internal/decide/keyrange/executor_test.go
@@ -126,3 +126,39 @@
 	now := sent + keyrange.TableReadTTL - 4*time.Second
 	require.Equal(t, 4*time.Second, dueCommand(t, e, now).TTL)
 }
+
+// Guards against logs that cannot tell a grant after a release from one after an expired grant or a termination.
+func TestGrantStatesWhyThePreviousOwnerHasNoGrant(t *testing.T) {
+	const start = time.Minute
+	previous, next := keyrange.Holder{ID: "e1", Incarnation: 1}, keyrange.Holder{ID: "e2", Incarnation: 1}
+	always := func(keyrange.Holder) bool { return true }
+	moved := func(t *testing.T) *keyrange.Executor {
+		t.Helper()
+		e := grantedRange(t, previous, start)
+		e.SetState(&keyrange.State{Tables: []keyrange.Table{{
+			Service: simService, Ranges: []keyrange.Range{{To: catalog.KeySpace - 1, Owner: next, PreviousOwner: previous, Fence: 2}},
+		}}}, start)
+		return e
+	}
+	t.Run("released", func(t *testing.T) {
+		e := moved(t)
+		release := dueCommand(t, e, start)
+		require.Equal(t, keyrange.KindRelease, release.Kind)
+		e.HandleResult(keyrange.Result{Command: release, Outcome: keyrange.Done}, start, start)
+		require.Equal(t, keyrange.BasisReleased, dueCommand(t, e, start).Basis)
+	})
+	t.Run("expired", func(t *testing.T) {
+		e := moved(t)
+		expired := start + simTiming.GrantTTL*103/100
+		e.ConfirmTable(expired)
+		grant := dueCommand(t, e, expired)
+		require.Equal(t, keyrange.BasisExpired, grant.Basis)
+		require.Equal(t, start+simTiming.GrantTTL*102/100, grant.PreviousUntil)
+	})
+	t.Run("terminated", func(t *testing.T) {
+		terminated := func(h keyrange.Holder) bool { return h == previous }
+		commands := moved(t).DueCommands(start, terminated, always, 1)
+		require.Len(t, commands, 1)
+		require.Equal(t, keyrange.BasisTerminated, commands[0].Basis)
+	})
+}
--- a/internal/service/keys/claim.go
+++ b/internal/service/keys/claim.go
@@ -170,8 +170,8 @@
 // chooseTTL selects the long grant TTL, the longest that the platform allows, while the store is unavailable: if this instance
 // fails during the outage, no other instance can take over until the store has recovered.
 func (s *Service) chooseTTL() {
-	if s.coordinator != nil {
-		s.coordinator.executor.UseLongTTL(!s.storeReachable)
+	if s.coordinator != nil && s.coordinator.executor.UseLongTTL(!s.storeReachable) {
+		telemetry.EventGrantTTLChanged.Log(s.log, zap.Bool("long", !s.storeReachable), zap.Uint64("term", s.coordinator.term))
 	}
 }
 
--- a/internal/service/keys/commands.go
+++ b/internal/service/keys/commands.go
@@ -156,7 +156,8 @@
 		if c.executor.HandleResult(r.Result, r.sent, t.Now()) {
 			s.grantedFences[r.Fence] = true
 			telemetry.EventRangeGranted.Log(s.log, zap.String("backend", string(m.target.ID)), zap.Uint32("from", r.From),
-				zap.Uint32("to", r.To), zap.Uint64("fence", r.Fence))
+				zap.Uint32("to", r.To), zap.Uint64("fence", r.Fence), zap.Duration("ttl", r.TTL), zap.Stringer("basis", r.Basis),
+				zap.Duration("previous_expired_ago", r.sent-r.PreviousUntil))
 		}
 	}
 	if c.executor.Fenced() {
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -31,6 +31,8 @@
 	replaced bool          // another process answered at its address
 	fenced   bool          // it refuses grants to earlier processes of its id
 	absent   time.Duration // since when it is not listed; zero if it is
+	// terminated is true once its termination has been logged.
+	terminated bool
 }
 
 // commandsDone is the result of a batch of commands to one backend.
@@ -99,14 +101,30 @@
 
 // terminated reports whether a process is confirmed terminated: a later process runs under its id or at its address.
 func (s *Service) terminated(h keyrange.Holder) bool {
-	if h == (keyrange.Holder{}) || s.coordinator.contact(h).replaced {
+	if h == (keyrange.Holder{}) {
 		return true
 	}
+	evidence := s.terminationEvidence(h)
+	if k := s.coordinator.contact(h); evidence != "" && !k.terminated {
+		k.terminated = true
+		telemetry.EventBackendTerminated.Log(s.log, zap.String("backend", string(h.ID)), zap.Int64("born", h.Incarnation),
+			zap.String("evidence", evidence))
+	}
+	return evidence != ""
+}
+
+// terminationEvidence returns what shows that a process has terminated. It is empty if nothing does.
+func (s *Service) terminationEvidence(h keyrange.Holder) string {
+	if s.coordinator.contact(h).replaced {
+		return "another process answered at its address"
+	}
 	if b := s.directory.Backends[h.ID]; b != nil && b.Incarnation > h.Incarnation {
-		return true
+		return "a later process is listed under its id"
+	}
+	if b := s.processes[h]; b != nil && s.replaced(h, b) {
+		return "a later process is listed at its address"
 	}
-	b := s.processes[h]
-	return b != nil && s.replaced(h, b)
+	return ""
 }
 
 // plan writes a new table if one is needed.
--- a/internal/service/loads.go
+++ b/internal/service/loads.go
@@ -14,6 +14,8 @@
 	Incarnation int64 // of the backend process
 	Position    int   // requests at the backend when it was sent, itself included
 	Sent        time.Duration
+	// Cold means that the backend was cold, as far as this instance knew.
+	Cold bool
 	// Service, Route and Work are those of the request.
 	Service entity.ServiceName
 	Route   string
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -48,7 +48,7 @@
 		}
 		s.acceptance(q, b.ID).Record(true, q.Now)
 		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now,
-			Service: q.Service.Name, Route: q.Route, Work: work}
+			Cold: c.Cold, Service: q.Service.Name, Route: q.Route, Work: work}
 	}
 }
 
--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -130,7 +130,10 @@
 	if c.customer != nil {
 		delivery.Customer = c.customer.ID
 	}
-	c.last = b.ID
+	c.last, c.lastCold = b.ID, attempt.Cold
+	if attempt.Cold {
+		s.meters.sentCold.Inc(1)
+	}
 	result := s.endpoints.Deliver(ctx, delivery)
 	s.loads.FinishAttempt(attempt, &result, s.kernel.Now())
 	s.watchCrash(c, b, result)
@@ -146,7 +149,7 @@
 	if result.Outcome.Kind != entity.OutcomeAnswered {
 		telemetry.EventCallAttempt.Log(s.log, zap.String("request", c.call.ID), zap.String("backend", string(b.ID)),
 			zap.String("outcome", result.Outcome.String()), zap.Int("arrivals", c.arrivals), zap.Uint64("table", uint64(c.version)),
-			zap.Uint64("view", c.view.Generation), zap.Duration("took", s.kernel.Now()-attempt.Sent))
+			zap.Uint64("view", c.view.Generation), zap.Duration("took", s.kernel.Now()-attempt.Sent), zap.Bool("cold", attempt.Cold))
 	}
 	return result
 }
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -37,9 +37,9 @@
 
 // meters count calls by outcome and measure the time until the reply, in nanoseconds.
 type meters struct {
-	calls, answered, notRun, unknown, retries metrics.Counter
-	took                                      metrics.Timer
-	registry                                  metrics.Registry
+	calls, answered, notRun, unknown, retries, sentCold metrics.Counter
+	took                                                metrics.Timer
+	registry                                            metrics.Registry
 }
 
 // New returns the router service of an instance. It registers its metrics in r.
@@ -50,6 +50,7 @@
 		notRun:   metrics.GetOrRegisterCounter("router.not_run", r),
 		unknown:  metrics.GetOrRegisterCounter("router.unknown", r),
 		retries:  metrics.GetOrRegisterCounter("router.repeats", r),
+		sentCold: metrics.GetOrRegisterCounter("router.sent_cold", r),
 		took:     metrics.GetOrRegisterTimer("router.took", r),
 		registry: r,
 	}}
@@ -128,6 +129,7 @@
 	arrivals int // attempts that reached a backend, or may have
 	runs     int // attempts that a backend may have run
 	last     entity.BackendID
+	lastCold bool // the last backend was cold, as far as this instance knew
 	// fingerprint identifies the request when it is sent again.
 	fingerprint uint64
 	version     service.Version
@@ -206,6 +208,9 @@
 	if c.customer != nil {
 		fields = append(fields, zap.String("customer", string(c.customer.ID)))
 	}
+	if c.lastCold {
+		fields = append(fields, zap.Bool("cold", true))
+	}
 	if c.call.HasKey {
 		fields = append(fields, zap.Uint32("key", c.call.Key))
 	}
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -26,8 +26,10 @@
 	EventTableRead         = define(2125, zapcore.InfoLevel, "newer table of key ranges read")
 	EventTableUnreadable   = define(2126, zapcore.ErrorLevel, "table of key ranges cannot be read")
 	EventCommandFailed     = define(2127, zapcore.InfoLevel, "command to a backend failed")
-	EventRangeGranted      = define(2128, zapcore.DebugLevel, "range granted to its owner")
+	EventRangeGranted      = define(2128, zapcore.InfoLevel, "range granted to its owner")
 	EventRenewalsPaused    = define(2129, zapcore.WarnLevel, "renewals paused, the table has not been confirmed for too long")
+	EventGrantTTLChanged   = define(2130, zapcore.InfoLevel, "TTL of the next grants changed")
+	EventBackendTerminated = define(2131, zapcore.InfoLevel, "backend process counts as terminated")
 
 	EventMemberReachable    = define(2140, zapcore.InfoLevel, "instance reachable")
 	EventMemberUnresponsive = define(2141, zapcore.InfoLevel, "instance unresponsive")
