Keep the warm-up limit where instances do not hear of each other

Cause: WarmupLimiter added this instance's requests and those that reachable peers had reported, and took the number of reachable instances for all that send. An isolated instance hears no counts and counts itself alone, so it used the full rate beside the others. Instances that are few for the rate could each send all of it before the first heartbeat, also without a partition. A process that saw two incarnations of a backend in turn, in requests with an older and a newer directory view, began its count anew each time.

Change: each instance has a quota for each second, whatever its peers report. All quotas add up to 1.5 times the rate, or to the rate where more than twice as many instances as the rate exist; they are divided by rendezvous order of the backend among all instances that may send, reachable or not (MembersView.Instances). Leaving peers and listed ones that were not heard for up to 30 s count. The count of a backend's requests is kept when its incarnation changes. The rate limit by reported counts stays as it was. The owner of a key is looked up in the current directory view after each wait. The partition test also delays requests between the choice of the backend and the sending, by up to 30 ms or until the instance thaws.

--- a/internal/decide/balance/warmup_partition_test.go
+++ b/internal/decide/balance/warmup_partition_test.go
@@ -19,17 +19,18 @@
 
 // Times of the membership of instances.
 const (
-	minPeerTimeout    = time.Second
-	missedHeartbeats  = 4
+	partitionedTTL    = 30 * time.Second
 	maxHeartbeatDelay = 20 // milliseconds
+	maxSendDelay      = 30 // milliseconds from the choice of the backend
 )
 
 // warmupInstance is an instance with what it has heard of its peers.
 type warmupInstance struct {
 	limiter     *balance.WarmupLimiter
 	startedAt   time.Duration
-	heard       map[int]time.Duration // time of each peer's last heartbeat
-	side        int                   // instances on different sides do not reach each other
+	process     string
+	heard       []time.Duration // time of each peer's last heartbeat
+	side        int             // instances on different sides do not reach each other
 	frozenUntil time.Duration
 }
 
@@ -43,6 +44,7 @@
 	interval  time.Duration
 	instances []*warmupInstance
 	inFlight  map[time.Duration][]warmupReport // by time of delivery
+	chosen    map[time.Duration][]int          // instances with a request to send, by time
 	sent      []time.Duration
 }
 
@@ -54,7 +56,7 @@
 const warmupStart = -10 * time.Second // before the backend turns cold at 0
 
 func newWarmupPartition(seed uint64, n int, rate float64) *warmupPartition {
-	p := &warmupPartition{random: rand.New(rand.NewPCG(seed, 3)), rate: rate, interval: heartbeatInterval(n), inFlight: map[time.Duration][]warmupReport{}}
+	p := &warmupPartition{random: rand.New(rand.NewPCG(seed, 3)), rate: rate, interval: heartbeatInterval(n), inFlight: map[time.Duration][]warmupReport{}, chosen: map[time.Duration][]int{}}
 	for range n {
 		p.instances = append(p.instances, &warmupInstance{})
 	}
@@ -68,21 +70,23 @@
 }
 
 func (p *warmupPartition) start(i int, now time.Duration) {
-	p.instances[i].limiter, p.instances[i].startedAt, p.instances[i].heard = balance.NewWarmupLimiter(), now, map[int]time.Duration{}
-	for j := range p.instances {
-		p.instances[i].heard[j] = now // listed
+	r := p.instances[i]
+	r.limiter, r.startedAt, r.process = balance.NewWarmupLimiter(), now, fmt.Sprint(i, now)
+	r.heard = make([]time.Duration, len(p.instances))
+	for j := range r.heard {
+		r.heard[j] = now // listed
 	}
 }
 
-// reachable returns the number of instances that instance i counts as reachable.
-func (p *warmupPartition) reachable(i int, now time.Duration) int {
-	timeout, reachable := max(minPeerTimeout, missedHeartbeats*p.interval), 1
+// known returns the number of instances that instance i takes for running, whether or not it reaches them.
+func (p *warmupPartition) known(i int, now time.Duration) int {
+	known := 1
 	for j, at := range p.instances[i].heard {
-		if i != j && now-at <= timeout {
-			reachable++
+		if i != j && now-at <= partitionedTTL {
+			known++
 		}
 	}
-	return reachable
+	return known
 }
 
 func (p *warmupPartition) take(i int, now time.Duration) {
@@ -90,10 +94,22 @@
 	if now < r.frozenUntil {
 		return
 	}
-	reachable := p.reachable(i, now)
-	if r.limiter.Take(now-r.startedAt, p.rate, reachable, (float64(i)+0.5)/float64(len(p.instances))) {
+	if r.limiter.Take(now-r.startedAt, p.rate, balance.WarmupSharing{Instances: p.known(i, now), Rank: i}) {
+		at := now + time.Duration(1+p.random.IntN(maxSendDelay))*time.Millisecond
+		p.chosen[at] = append(p.chosen[at], i)
+	}
+}
+
+// send sends the requests that are due; those of a frozen instance after the freeze.
+func (p *warmupPartition) send(now time.Duration) {
+	for _, i := range p.chosen[now] {
+		if thaw := p.instances[i].frozenUntil; now < thaw {
+			p.chosen[thaw] = append(p.chosen[thaw], i)
+			continue
+		}
 		p.sent = append(p.sent, now)
 	}
+	delete(p.chosen, now)
 }
 
 // exchange sends the heartbeats that are due and delivers those that arrive.
@@ -116,7 +132,7 @@
 			continue
 		}
 		to.heard[m.from] = now
-		to.limiter.SetPeerCount(fmt.Sprint(m.from, p.instances[m.from].startedAt), m.n, now-to.startedAt)
+		to.limiter.SetPeerCount(p.instances[m.from].process, m.n, now-to.startedAt)
 	}
 	delete(p.inFlight, now)
 }
@@ -126,6 +142,7 @@
 	for now := -p.interval; now < cold; now += time.Millisecond {
 		event(now)
 		p.exchange(now)
+		p.send(now)
 		if now < 0 {
 			continue
 		}
@@ -159,10 +176,10 @@
 		begin := time.Duration(p.random.IntN(2000)) * time.Millisecond
 		end := begin + time.Duration(1+p.random.IntN(3000))*time.Millisecond
 		return func(now time.Duration) {
-			switch now {
-			case begin:
+			if now == begin {
 				p.separate(func(i int) int { return i % 3 })
-			case end:
+			}
+			if now == end {
 				p.separate(oneSide)
 			}
 		}
--- a/internal/decide/balance/warmup_test.go
+++ b/internal/decide/balance/warmup_test.go
@@ -19,9 +19,9 @@
 	idle := 0
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 2))
-		limiters, preferences := make([]*balance.WarmupLimiter, instances), make([]float64, instances)
+		limiters, ranks := make([]*balance.WarmupLimiter, instances), random.Perm(instances)
 		for i := range limiters {
-			limiters[i], preferences[i] = balance.NewWarmupLimiter(), random.Float64()
+			limiters[i] = balance.NewWarmupLimiter()
 		}
 		var sent []time.Duration
 		for now := 2 * time.Second; now < 8*time.Second; now += time.Millisecond {
@@ -35,7 +35,7 @@
 				}
 			}
 			i := random.IntN(instances)
-			if random.Float64() < 0.3 && limiters[i].Take(now, rate, instances, preferences[i]) {
+			if random.Float64() < 0.3 && limiters[i].Take(now, rate, balance.WarmupSharing{Instances: instances, Rank: ranks[i]}) {
 				sent = append(sent, now)
 			}
 		}
@@ -79,7 +79,7 @@
 			continue
 		}
 		i := random.IntN(len(c.limiters))
-		if c.limiters[i].Take(now-c.startedAt[i], warmupRate, len(c.limiters), float64(i)/float64(len(c.limiters))) {
+		if c.limiters[i].Take(now-c.startedAt[i], warmupRate, balance.WarmupSharing{Instances: len(c.limiters), Rank: i}) {
 			c.sent = append(c.sent, now)
 		}
 	}
--- a/internal/decide/rendezvous/rendezvous.go
+++ b/internal/decide/rendezvous/rendezvous.go
@@ -44,6 +44,17 @@
 	return ordered
 }
 
+// Rank returns the number of candidates that Order places before the given one.
+func Rank[T ~string](name string, candidate T, candidates []T) int {
+	rank, own := 0, score(name, string(candidate))
+	for _, c := range candidates {
+		if s := score(name, string(c)); s > own || (s == own && c < candidate) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Group returns the lease group that serves a name among the groups of its zone. It reports false if there is no group.
 func Group(name string, groups []uint32) (uint32, bool) {
 	if len(groups) == 0 {
--- a/internal/service/loads.go
+++ b/internal/service/loads.go
@@ -67,9 +67,9 @@
 	Route      string
 	Candidates []*catalog.Backend
 	// Excluded contains backends that were already tried.
-	Excluded  map[entity.BackendID]bool
-	Zone      entity.Zone
-	Instances int
-	Goal      balance.LatencyGoal
-	Now       time.Duration
+	Excluded map[entity.BackendID]bool
+	Zone     entity.Zone
+	Members  *MembersView
+	Goal     balance.LatencyGoal
+	Now      time.Duration
 }
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -40,7 +40,7 @@
 			return service.Choice{Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry)}, service.Attempt{}
 		}
 		e := s.endpoints[b.ID]
-		if c.Cold && q.Service.WarmupRate > 0 && !e.warmup.Take(q.Now, q.Service.WarmupRate, q.Instances, e.preference) {
+		if c.Cold && q.Service.WarmupRate > 0 && !s.takeWarmup(e, &q) {
 			s.warmupRefused.Inc(1)
 			candidates[i], backends[i] = candidates[len(candidates)-1], backends[len(backends)-1]
 			candidates, backends = candidates[:len(candidates)-1], backends[:len(backends)-1]
--- a/internal/service/loads/leaving_test.go
+++ b/internal/service/loads/leaving_test.go
@@ -17,7 +17,7 @@
 // chooseOf chooses one of the backends for a request with much time left.
 func chooseOf(s *loads.Service, now time.Duration, list ...*catalog.Backend) (service.Choice, service.Attempt) {
 	return s.Choose(service.LoadQuery{
-		Service: &catalog.Service{Name: "s"}, Candidates: list, Zone: "a", Instances: 1, Now: now,
+		Service: &catalog.Service{Name: "s"}, Candidates: list, Zone: "a", Now: now,
 		Goal: balance.LatencyGoal{Remaining: time.Minute, Target: time.Minute},
 	})
 }
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -60,7 +60,10 @@
 	incarnation int64
 	hash        uint32
 	warmup      *balance.WarmupLimiter
-	lastUsed    time.Duration
+	// sharing is this instance's part in the warm-up of the backend among the instances in sharedBy.
+	sharing  balance.WarmupSharing
+	sharedBy *service.MembersView
+	lastUsed time.Duration
 	// acceptance is used only for backends that own keys.
 	acceptance balance.AcceptanceRate
 	// preference is this instance's preference for the backend, see balance.Candidate.
@@ -127,8 +130,12 @@
 func (s *Service) endpoint(b *catalog.Backend, now time.Duration) *endpoint {
 	e := s.endpoints[b.ID]
 	if e == nil || e.incarnation != b.Incarnation {
+		warmup := balance.NewWarmupLimiter()
+		if e != nil {
+			warmup = e.warmup // requests with older and newer directory views may alternate
+		}
 		e = &endpoint{
-			Endpoint: balance.NewEndpoint(b.Slots), id: b.ID, incarnation: b.Incarnation, hash: shortHash(string(b.ID)), warmup: balance.NewWarmupLimiter(),
+			Endpoint: balance.NewEndpoint(b.Slots), id: b.ID, incarnation: b.Incarnation, hash: shortHash(string(b.ID)), warmup: warmup,
 			preference: float64(shortHash(string(s.instance.ID)+string(b.ID))) / math.MaxUint32, lastUsed: now,
 		}
 		s.endpoints[b.ID], s.endpointsByHash[e.hash] = e, e
--- a/internal/service/loads/loads_test.go
+++ b/internal/service/loads/loads_test.go
@@ -72,7 +72,7 @@
 	list := []*catalog.Backend{{ID: "a", Slots: 2, Zone: "a"}, {ID: "b", Slots: 2, Zone: "a"}}
 	goal := balance.LatencyGoal{Remaining: time.Second, Target: 10 * time.Second}
 	choose := func(l *loads.Service, candidates []*catalog.Backend) service.Choice {
-		c, _ := l.Choose(service.LoadQuery{Service: svc, Candidates: candidates, Zone: "a", Instances: 2, Goal: goal, Now: 2 * time.Second})
+		c, _ := l.Choose(service.LoadQuery{Service: svc, Candidates: candidates, Zone: "a", Goal: goal, Now: 2 * time.Second})
 		return c
 	}
 	choose(one, list)
@@ -91,7 +91,7 @@
 	s := newLoads()
 	late := 2 * time.Minute
 	q := service.LoadQuery{
-		Service: &catalog.Service{Name: "s"}, Candidates: []*catalog.Backend{{ID: "a", Slots: 2, Zone: "a"}}, Zone: "a", Instances: 1,
+		Service: &catalog.Service{Name: "s"}, Candidates: []*catalog.Backend{{ID: "a", Slots: 2, Zone: "a"}}, Zone: "a",
 		Goal: balance.LatencyGoal{Remaining: time.Second, Target: 10 * time.Second}, Now: late,
 	}
 	choice, attempt := s.Choose(q)
--- a/internal/service/members.go
+++ b/internal/service/members.go
@@ -13,6 +13,10 @@
 	ReachableShare float64
 	// ReachableCount is the number of reachable instances, including itself and newly listed instances, which may serve already.
 	ReachableCount int
+	// Instances are all instances that may be sending requests, reachable or not, including this one and those that are leaving.
+	Instances []entity.InstanceID
+	// KnownCount is the number of these instances. It is larger than the length of Instances until their list has been read.
+	KnownCount int
 	// Staleness is the maximum age of the numbers that peers report.
 	Staleness time.Duration
 }
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -164,7 +164,8 @@
 		bad:       metrics.GetOrRegisterCounter("members.heartbeats_bad", r),
 		reachable: metrics.GetOrRegisterGauge("members.heard", r),
 	}
-	s.view.Publish(&service.MembersView{ReachableShare: 1 / float64(assumedInstances), ReachableCount: assumedInstances, Staleness: s.staleness()})
+	s.view.Publish(&service.MembersView{ReachableShare: 1 / float64(assumedInstances), ReachableCount: assumedInstances, Staleness: s.staleness(),
+		Instances: []entity.InstanceID{instance.ID}, KnownCount: assumedInstances})
 	return s
 }
 
--- a/internal/service/members/members_test.go
+++ b/internal/service/members/members_test.go
@@ -203,3 +203,22 @@
 	require.Equal(t, unlistedStaleness, s.MembersView().Staleness)
 	require.Equal(t, assumedInstances, s.MembersView().ReachableCount)
 }
+
+// Guards against an instance that takes its side of a partition for all instances that send to a cold backend.
+func TestUnreachableInstancesCountAsSenders(t *testing.T) {
+	s := newMembers(4)
+	listed := s.addPeer(&fleetpb.Member{Id: "listed", Zone: "b", Address: "127.0.0.1:1000"}, time.Second)
+	require.NotNil(t, listed)
+	s.peers["other-0"].leaving = true
+	for _, now := range []time.Duration{time.Second, 20 * time.Second} {
+		s.publish(now)
+		require.Len(t, s.MembersView().Instances, 6, "at %v", now)
+		require.Equal(t, 6, s.MembersView().KnownCount, "at %v", now)
+	}
+	require.Equal(t, 1, s.MembersView().ReachableCount)
+	s.publish(time.Second + partitionedTTL + time.Millisecond)
+	require.Len(t, s.MembersView().Instances, 2, "peers that were not heard for long have terminated, unless they are leaving")
+	s.listRead = false
+	s.publish(time.Minute)
+	require.Equal(t, assumedInstances, s.MembersView().KnownCount)
+}
--- a/internal/service/members/view.go
+++ b/internal/service/members/view.go
@@ -31,6 +31,12 @@
 	return !p.leaving && now-p.at <= partitionedTTL
 }
 
+// maySend reports whether a peer may be sending requests, whether or not it is reachable. A leaving peer still serves its open
+// connections, and a listed one may have been partitioned from this instance since before this instance started.
+func (p *peer) maySend(now time.Duration) bool {
+	return p.leaving || now-max(p.at, p.listedAt) <= partitionedTTL
+}
+
 // unresponsiveZones returns the zones from which no heartbeat was received for a heartbeat interval plus zoneTimeout. The
 // isolation of a zone can be detected sooner than the failure of a single instance, whose heartbeats may just have been lost.
 func (s *Service) unresponsiveZones(now time.Duration) map[entity.Zone]bool {
@@ -50,8 +56,12 @@
 
 func (s *Service) publish(now time.Duration) {
 	reachable, known, unconfirmed := 1, 1, 0 // unconfirmed peers are listed and may just have started
+	instances := append(make([]entity.InstanceID, 0, len(s.peers)+1), s.instance.ID)
 	unresponsive := s.unresponsiveZones(now)
 	for _, p := range s.peers {
+		if p.maySend(now) {
+			instances = append(instances, p.id)
+		}
 		if !p.mayAdmit(now) {
 			continue
 		}
@@ -68,5 +78,10 @@
 		unconfirmed = known - reachable
 	}
 	s.reachable.Update(int64(reachable))
-	s.view.Publish(&service.MembersView{ReachableShare: float64(reachable) / float64(known), ReachableCount: reachable + unconfirmed, Staleness: s.staleness()})
+	senders := len(instances)
+	if !s.listRead {
+		senders = max(senders, assumedInstances)
+	}
+	s.view.Publish(&service.MembersView{ReachableShare: float64(reachable) / float64(known), ReachableCount: reachable + unconfirmed, Staleness: s.staleness(),
+		Instances: instances, KnownCount: senders})
 }
--- a/internal/service/router/choose.go
+++ b/internal/service/router/choose.go
@@ -62,6 +62,7 @@
 			if now := s.kernel.Now(); !s.starting() || now >= waitUntil || !wait(ctx, view.Changed, waitUntil-now) {
 				return nil, entity.NotRun(entity.ReasonNoOwner, "the key has no owner")
 			}
+			c.view = s.newerDirectory(c)
 			continue // an instance that has just started is still reading the table
 		}
 		c.version = view.Version
@@ -140,7 +141,7 @@
 	now := s.kernel.Now()
 	return s.loads.Choose(service.LoadQuery{
 		Service: c.service, Route: c.route.Name, Candidates: candidates, Excluded: c.tried, Zone: s.instance.Zone,
-		Instances: s.members.MembersView().ReachableCount, Now: now,
+		Members: s.members.MembersView(), Now: now,
 		Goal: balance.LatencyGoal{
 			Target: c.route.LatencyTarget, Remaining: c.deadline - now, Waited: now - c.call.Received, Priority: c.priority,
 		},
--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -50,6 +50,7 @@
 type fakeKeys struct {
 	stub
 	misdirected int
+	viewed      func() // called after each reading of the view, if set
 
 	mu   sync.Mutex
 	view *service.KeyView
@@ -57,8 +58,12 @@
 
 func (o *fakeKeys) KeyView() *service.KeyView {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.view
+	view := o.view
+	o.mu.Unlock()
+	if o.viewed != nil {
+		o.viewed()
+	}
+	return view
 }
 
 func (o *fakeKeys) ReportMisdirected(service.Version) { o.misdirected++ }
@@ -67,7 +72,7 @@
 type fakeMembers struct{ stub }
 
 func (fakeMembers) MembersView() *service.MembersView {
-	return &service.MembersView{ReachableShare: 1, ReachableCount: 1}
+	return &service.MembersView{ReachableShare: 1, ReachableCount: 1, KnownCount: 1}
 }
 
 // fakeEndpoints is an endpoints service that answers deliveries with a function.
