Report to the caller of a delivery that the connection was refused

Cause: a delivery that could not be sent does not tell a refused connection, which proves that no process listened, from a timeout.

Change: service.DeliveryResult has ConnectionRefused.

--- a/internal/service/calls.go
+++ b/internal/service/calls.go
@@ -77,6 +77,8 @@
 	Leaving bool
 	// HoldOff is how long the backend asks to be sent no requests; zero if it does not.
 	HoldOff time.Duration
+	// ConnectionRefused means that no process listened at the backend's address.
+	ConnectionRefused bool
 }
 
 // Deliverer sends calls to backends.
