--- a/internal/service/directory/directory_test.go
+++ b/internal/service/directory/directory_test.go
@@ -108,6 +108,17 @@
 	require.Equal(t, h.clock.Now()+2500*time.Millisecond, view.Backends["e1"].WarmUntil, "as reported by the backend")
 }
 
+// Guards against full load on backends of a re-enabled zone whose entry, written before the zone was evacuated, reports the end of an
+// earlier warm-up.
+func TestOlderEntryDoesNotShortenTheColdTimeOfAReenabledZone(t *testing.T) {
+	h := newHarness(t)
+	h.send(config(t, 1), read(entry("e1", 1, 0)), evacuated("a"))
+	h.clock.Advance(5 * time.Second)
+	until := h.send(evacuated()).Backends["e1"].WarmUntil
+	view := h.send(read(entry("e1", 1, 100*time.Millisecond)))
+	require.Equal(t, until, view.Backends["e1"].WarmUntil)
+}
+
 // Guards against a re-enabled zone that stays at the warm-up limit although its backends are warm.
 func TestWarmBackendsOfReenabledZoneAreUsedSoon(t *testing.T) {
 	h := newHarness(t)
--- /dev/null
+++ b/internal/service/loads/restart_test.go
@@ -0,0 +1,165 @@
+package loads_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/catalog"
+	"github.com/pollenpier/pollenpier/internal/decide/balance"
+	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/service/loads"
+)
+
+// warmedService has backends that are cold for 3 s and accept 6.6 requests per second while they are.
+var warmedService = &catalog.Service{Name: "s", Warmup: 3 * time.Second, WarmupRate: 6.6}
+
+const (
+	restartInstances = 12
+	// restartAllowed is the number of requests in one second that a cold backend bears: 1.5 times its rate and 5.
+	restartAllowed = 1.5*6.6 + 5
+)
+
+// Times of the simulation.
+const (
+	restartStep      = time.Millisecond
+	restartHeartbeat = 200 * time.Millisecond
+	restartDown      = 4 * time.Second // the first process terminates
+	restartUp        = 6 * time.Second // the next process listens
+	restartEnd       = 12 * time.Second
+
+	restartServiceTime = 20 * time.Millisecond
+)
+
+// restartCluster simulates instances that have two backends in their view, both listed as warm. The first one restarts under its ID
+// and address, and no instance reads the entry of the new process.
+type restartCluster struct {
+	instances []*loads.Service
+	running   []runningRequest
+	received  []time.Duration // arrivals at the new process
+	other     int             // arrivals at the other backend
+}
+
+// runningRequest is a request that a backend is processing.
+type runningRequest struct {
+	instance *loads.Service
+	attempt  service.Attempt
+	end      time.Duration
+}
+
+func newRestartCluster() *restartCluster {
+	c := &restartCluster{}
+	for i := range restartInstances {
+		instance := testInstance
+		instance.ID = entity.InstanceID(fmt.Sprint(i))
+		c.instances = append(c.instances, loads.New(instance, metrics.NewRegistry()))
+	}
+	return c
+}
+
+// run offers demand requests per second to random instances.
+func (c *restartCluster) run(seed uint64, demand float64) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	for now := 2 * time.Second; now < restartEnd; now += restartStep {
+		for len(c.running) > 0 && c.running[0].end <= now {
+			c.running[0].instance.FinishAttempt(c.running[0].attempt, served, now)
+			c.running = c.running[1:]
+		}
+		if now%restartHeartbeat == 0 {
+			c.exchange(now)
+		}
+		if random.Float64() < demand*restartStep.Seconds() {
+			c.request(c.instances[random.IntN(restartInstances)], now)
+		}
+	}
+}
+
+func (c *restartCluster) exchange(now time.Duration) {
+	for i, from := range c.instances {
+		report := from.Report(now, window, true)
+		for j, to := range c.instances {
+			if i != j {
+				to.ApplyPeerReport(service.PeerTraffic{Instance: entity.InstanceID(fmt.Sprint(i)), TrafficReport: report}, now)
+			}
+		}
+	}
+}
+
+// request sends one request to the backend that the instance chooses.
+func (c *restartCluster) request(s *loads.Service, now time.Duration) {
+	choice, attempt := chooseWarmed(s, now, restartedBackend(), &catalog.Backend{ID: "other", Incarnation: 1, Slots: 8})
+	if choice.Backend == nil {
+		return
+	}
+	switch {
+	case choice.Backend.ID == "other":
+		c.other++
+	case now >= restartDown && now < restartUp:
+		s.FinishAttempt(attempt, refusedConnection, now)
+		return
+	case now >= restartUp:
+		c.received = append(c.received, now)
+	}
+	c.running = append(c.running, runningRequest{s, attempt, now + restartServiceTime})
+}
+
+func restartedBackend() *catalog.Backend {
+	return &catalog.Backend{ID: "restarted", Incarnation: 1, Slots: 8}
+}
+
+var (
+	served            = &service.DeliveryResult{Outcome: entity.Answered(), Status: 200}
+	refusedConnection = &service.DeliveryResult{Outcome: entity.NotRun(entity.ReasonUnreachable, "connection refused"), ConnectionRefused: true}
+)
+
+func chooseWarmed(s *loads.Service, now time.Duration, list ...*catalog.Backend) (service.Choice, service.Attempt) {
+	return s.Choose(service.LoadQuery{
+		Service: warmedService, Candidates: list, Zone: "a", Instances: restartInstances, Now: now,
+		Goal: balance.LatencyGoal{Remaining: time.Minute, Target: time.Minute},
+	})
+}
+
+// Guards against full load on a backend that returns cold under its ID and address, by instances that cannot read its new entry.
+func TestBackendThatReturnsAfterRefusedConnectionsIsNotFlooded(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newRestartCluster()
+		c.run(seed, 400)
+		require.LessOrEqual(t, mostWithin(c.received, time.Second, restartUp+warmedService.Warmup), restartAllowed, "seed %d", seed)
+		require.NotEmpty(t, c.received, "seed %d", seed)
+		require.Positive(t, c.other, "seed %d", seed)
+	}
+}
+
+// mostWithin returns the largest number of times in a span that ends before end.
+func mostWithin(times []time.Duration, span, end time.Duration) float64 {
+	most, from := 0, 0
+	for i := range times {
+		if times[i] >= end {
+			break
+		}
+		for times[i]-times[from] >= span {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return float64(most)
+}
+
+// Guards against an entry that was written before the restart, and is read after it, ending the limit of the new process.
+func TestOldEntryDoesNotMakeARestartedBackendWarm(t *testing.T) {
+	s := newLoads()
+	_, attempt := chooseWarmed(s, 2*time.Second, restartedBackend())
+	s.FinishAttempt(attempt, refusedConnection, 2*time.Second)
+	now := 4 * time.Second
+	_, attempt = chooseWarmed(s, now, restartedBackend())
+	require.True(t, attempt.Cold, "the next process counts as cold")
+	s.FinishAttempt(attempt, served, now)
+	now += 2 * time.Second
+	_, attempt = chooseWarmed(s, now, restartedBackend())
+	require.True(t, attempt.Cold, "an entry of the terminated process says nothing about the next one")
+}
