Keep backends of a re-enabled zone cold against an older entry

Cause: an entry that reports a remaining warm-up replaced the end of the cold time of a re-enabled zone, even with an earlier one. The entry may have been written before the backend became cold again.

Change: the later of the two ends counts.

Measured: TestOlderEntryDoesNotShortenTheColdTimeOfAReenabledZone failed (cold until 0.1 s after the zone was re-enabled instead of 2.3 s) and passes; go test ./internal/service/directory passes.

--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -178,8 +178,9 @@
 			zap.Int64("known_born", old.Incarnation))
 		return false
 	}
-	if next.WarmUntil = s.coldUntil[next.Zone]; e.RemainingWarmup > 0 {
-		next.WarmUntil = now + e.RemainingWarmup
+	next.WarmUntil = s.coldUntil[next.Zone]
+	if e.RemainingWarmup > 0 {
+		next.WarmUntil = max(next.WarmUntil, now+e.RemainingWarmup)
 	}
 	if next.Draining {
 		s.leaving.record(processHash(&next), lastActiveAt, now)
