Treat a backend as cold after it refused a connection

Cause: an instance knew of a restart only from the entry of the new process. One that the store rejects, or that reads late, went on sending without limit to a backend that had returned cold under its ID and address.

Change: a refused connection proves that no process listened, so the process that answers next counts as cold for the service's warm-up time (balance.RestartDetector), whatever an older entry says; the entry of a later process replaces this. Resets, timeouts and answers of 421 change nothing.

--- a/internal/service/loads.go
+++ b/internal/service/loads.go
@@ -16,6 +16,8 @@
 	Sent        time.Duration
 	// Cold means that the backend was cold, as far as this instance knew.
 	Cold bool
+	// Warmup is how long a backend of the service is cold after its start.
+	Warmup time.Duration
 	// Service, Route and Work are those of the request.
 	Service entity.ServiceName
 	Route   string
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		e := s.endpoint(b, q.Now)
-		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: b.WarmUntil > q.Now, SameZone: b.Zone == q.Zone, Preference: e.preference})
+		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: b.WarmUntil > q.Now || e.restart.Cold(q.Now), SameZone: b.Zone == q.Zone, Preference: e.preference})
 		backends = append(backends, b)
 	}
 	work := s.workTimes(q.Service.Name).Of(q.Route)
@@ -48,7 +48,7 @@
 		}
 		s.acceptance(q, b.ID).Record(true, q.Now)
 		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now,
-			Cold: c.Cold, Service: q.Service.Name, Route: q.Route, Work: work}
+			Cold: c.Cold, Warmup: q.Service.Warmup, Service: q.Service.Name, Route: q.Route, Work: work}
 	}
 }
 
@@ -122,6 +122,7 @@
 	if r.HoldOff > 0 {
 		e.HoldOff(r.HoldOff, now)
 	}
+	s.detectRestart(e, a, r, now)
 	switch {
 	case r.Misdirected || r.Outcome.IsCanceled():
 		e.Abandoned()
@@ -135,5 +136,17 @@
 	}
 }
 
+// detectRestart records what the result of an attempt tells about a restart of the backend. An answer of 421 may be that of another
+// backend at the same address. The caller holds the lock.
+func (s *Service) detectRestart(e *endpoint, a service.Attempt, r *service.DeliveryResult, now time.Duration) {
+	switch {
+	case a.Warmup <= 0:
+	case r.ConnectionRefused:
+		e.restart.ConnectionRefused(now)
+	case r.Status != 0 && !r.Misdirected && e.restart.Answered(a.Sent, now, a.Warmup):
+		s.restarts.Inc(1)
+	}
+}
+
 // serverErrors is the lowest HTTP status that reports a failure of the backend.
 const serverErrors = 500
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -51,7 +51,7 @@
 	crashes         crashes
 	leaving         leavingReports
 
-	refusedRates, refusedLoad, refusedRetries, warmupRefused, heldOff metrics.Counter
+	refusedRates, refusedLoad, refusedRetries, warmupRefused, heldOff, restarts metrics.Counter
 }
 
 type endpoint struct {
@@ -61,6 +61,7 @@
 	hash        uint32
 	warmup      *balance.WarmupLimiter
 	lastUsed    time.Duration
+	restart     balance.RestartDetector
 	// acceptance is used only for backends that own keys.
 	acceptance balance.AcceptanceRate
 	// preference is this instance's preference for the backend, see balance.Candidate.
@@ -93,6 +94,7 @@
 		refusedLoad:     metrics.GetOrRegisterCounter("loads.refused_load", r),
 		refusedRetries:  metrics.GetOrRegisterCounter("loads.refused_repeat", r),
 		heldOff:         metrics.GetOrRegisterCounter("loads.held_off", r),
+		restarts:        metrics.GetOrRegisterCounter("loads.restarts_detected", r),
 		warmupRefused:   metrics.GetOrRegisterCounter("loads.held_by_ramp", r),
 	}
 }
--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -136,6 +136,10 @@
 	}
 	result := s.endpoints.Deliver(ctx, delivery)
 	s.loads.FinishAttempt(attempt, &result, s.kernel.Now())
+	if result.ConnectionRefused {
+		telemetry.EventBackendRefusedConnection.Log(s.log, zap.String("backend", string(b.ID)), zap.Int64("born", b.Incarnation),
+			zap.String("service", string(c.service.Name)), zap.Duration("warmup", c.service.Warmup))
+	}
 	s.watchCrash(c, b, result)
 	if result.Outcome.Reason != entity.ReasonUnreachable {
 		c.arrivals++
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -18,6 +18,8 @@
 	EventStoreRecovered        = define(2111, zapcore.InfoLevel, "store reachable again")
 	EventHistoryLost           = define(2112, zapcore.InfoLevel, "history of the store no longer available, reading the newest entries")
 
+	EventBackendRefusedConnection = define(2113, zapcore.InfoLevel, "backend refused a connection, the process that answers next counts as cold")
+
 	EventCoordinatorClaim  = define(2120, zapcore.InfoLevel, "claiming the coordinator role for key ranges")
 	EventCoordinatorGained = define(2121, zapcore.InfoLevel, "coordinating key ranges")
 	EventCoordinatorLost   = define(2122, zapcore.InfoLevel, "no longer coordinating key ranges")
