Add a test of a re-enabled zone whose entries cannot be read

Cause: backends of a re-enabled zone count as warm after 2.3 s, also if the store has answered no read of their entries since.

--- a/internal/service/directory/directory_test.go
+++ b/internal/service/directory/directory_test.go
@@ -119,6 +119,20 @@
 	require.Equal(t, until, view.Backends["e1"].WarmUntil)
 }
 
+// Guards against full load on backends that became cold while their zone was evacuated, by an instance that cannot read the entries
+// after the zone was re-enabled.
+func TestReenabledZoneStaysColdWhileItsEntriesAreNotRead(t *testing.T) {
+	h := newHarness(t)
+	h.send(config(t, 1), read(entry("e1", 1, 0)), evacuated("a"))
+	h.clock.Advance(5 * time.Second)
+	h.send(evacuated())
+	h.clock.Advance(2500 * time.Millisecond)
+	view := h.send()
+	require.Greater(t, view.Backends["e1"].WarmUntil, h.clock.Now(), "the entries have not been read")
+	h.clock.Advance(500 * time.Millisecond)
+	require.LessOrEqual(t, view.Backends["e1"].WarmUntil, h.clock.Now(), "the warm-up time of the service has passed")
+}
+
 // Guards against a re-enabled zone that stays at the warm-up limit although its backends are warm.
 func TestWarmBackendsOfReenabledZoneAreUsedSoon(t *testing.T) {
 	h := newHarness(t)
