Keep a re-enabled zone cold until its entries have been read

Cause: backends may become cold while their zone is evacuated. 2.3 s after the zone was re-enabled they counted as warm, also at an instance to which the store had answered no read of their entries since.

Change: the warm-up time of the service is assumed until entries have been read that were written after the next heartbeat; from then on the cold time is 2.3 s as before. A read that found no changes, also a relayed one, is reported to the directory for that. In the tests, reads of the directory carry the time at which they were sent, as those of the feed do.

Measured: TestReenabledZoneStaysColdWhileItsEntriesAreNotRead failed (2.3 s) and passes (3 s, the warm-up time); TestReadWithoutChangesEndsTheAssumedWarmupOfAReenabledZone and go test ./platform -run 'Cold|Warm|Zone|Relay|Leaving|Extended|Config' pass.

--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -24,10 +24,6 @@
 // Live backends write their records again within two seconds.
 const recoveryGrace = 2200 * time.Millisecond
 
-// entryDelay is the longest time from the writing of a backend record until it is read, plus some of the jitter of the write
-// interval.
-const entryDelay = 1300 * time.Millisecond
-
 // Service is the service named directory.
 type Service struct {
 	instance    service.InstanceConfig
@@ -43,7 +39,8 @@
 	leaving          leavingProcesses
 	evacuated        map[entity.Zone]bool
 	evacuatedSince   map[entity.Zone]time.Duration // when each zone was evacuated
-	coldUntil        map[entity.Zone]time.Duration // until when the backends of a re-enabled zone count as cold
+	reenabled        map[entity.Zone]reenabledZone
+	reportedCold     map[entity.BackendID]time.Duration // end of the warm-up according to the last entry
 	storeUnavailable bool
 	graceUntil       time.Duration
 	readAt           time.Duration
@@ -68,7 +65,8 @@
 		leaving:        leavingProcesses{},
 		evacuated:      map[entity.Zone]bool{},
 		evacuatedSince: map[entity.Zone]time.Duration{},
-		coldUntil:      map[entity.Zone]time.Duration{},
+		reenabled:      map[entity.Zone]reenabledZone{},
+		reportedCold:   map[entity.BackendID]time.Duration{},
 		versions:       metrics.GetOrRegisterGauge("directory.config_version", registry),
 		ready:          make(chan struct{}),
 		listed:         metrics.GetOrRegisterGauge("directory.backends", registry),
@@ -136,6 +134,7 @@
 	s.readAt = m.At
 	changed := !s.backendsLoaded // the first read is published even if it is empty
 	s.backendsLoaded = true
+	changed = s.reenabledZonesRead(m.At) || changed
 	seen := map[entity.BackendID]bool{}
 	for _, e := range m.Entries {
 		seen[e.ID] = true
@@ -178,10 +177,11 @@
 			zap.Int64("known_born", old.Incarnation))
 		return false
 	}
-	next.WarmUntil = s.coldUntil[next.Zone]
+	delete(s.reportedCold, e.ID)
 	if e.RemainingWarmup > 0 {
-		next.WarmUntil = max(next.WarmUntil, now+e.RemainingWarmup)
+		s.reportedCold[e.ID] = now + e.RemainingWarmup
 	}
+	next.WarmUntil = max(s.reportedCold[e.ID], s.coldUntil(&next))
 	if next.Draining {
 		s.leaving.record(processHash(&next), lastActiveAt, now)
 	}
@@ -228,40 +228,7 @@
 	telemetry.EventBackendRemoved.Log(s.log, zap.String("backend", string(id)), zap.String("service", string(s.backends[id].Service)))
 	delete(s.backends, id)
 	delete(s.lapsed, id)
-}
-
-func (s *Service) zonesRead(t *kernel.Turn, m service.ZonesRead) {
-	if maps.Equal(s.evacuated, m.Evacuated) {
-		return
-	}
-	s.evacuated = m.Evacuated
-	for zone := range m.Evacuated {
-		if _, known := s.evacuatedSince[zone]; !known {
-			s.evacuatedSince[zone] = t.Now()
-		}
-	}
-	for zone := range s.evacuatedSince {
-		if !m.Evacuated[zone] {
-			delete(s.evacuatedSince, zone)
-			s.reenableZone(t, zone)
-		}
-	}
-	telemetry.EventZonesEvacuated.Log(s.log, zap.Any("zones", slices.Sorted(maps.Keys(m.Evacuated))))
-	s.publish(t)
-}
-
-// reenableZone makes the backends of a zone that is no longer evacuated count as cold until their next records can have been
-// read. Idle backends may have become cold and report this only in the record that they write at the next heartbeat.
-func (s *Service) reenableZone(t *kernel.Turn, zone entity.Zone) {
-	until := t.Now() + s.instance.Heartbeat + entryDelay
-	s.coldUntil[zone] = until
-	for id, b := range s.backends {
-		if b.Zone == zone && b.WarmUntil < until {
-			next := *b
-			next.WarmUntil = until
-			s.backends[id] = &next
-		}
-	}
+	delete(s.reportedCold, id)
 }
 
 func (s *Service) outage(t *kernel.Turn, m service.StoreOutage) {
--- a/internal/service/directory/directory_test.go
+++ b/internal/service/directory/directory_test.go
@@ -58,10 +58,14 @@
 	return h
 }
 
-// send delivers messages, waits until they are handled and returns the view.
+// send delivers messages, waits until they are handled and returns the view. Reads without a time count as sent now.
 func (h *harness) send(messages ...kernel.Message) *service.DirectoryView {
 	h.t.Helper()
 	for _, m := range messages {
+		if r, ok := m.(service.BackendsRead); ok && r.At == 0 {
+			r.At = h.clock.Now()
+			m = r
+		}
 		require.NoError(h.t, h.kernel.Deliver(context.Background(), service.Directory, m))
 	}
 	done := make(chan struct{})
@@ -133,6 +137,17 @@
 	require.LessOrEqual(t, view.Backends["e1"].WarmUntil, h.clock.Now(), "the warm-up time of the service has passed")
 }
 
+// Guards against an instance that gets only changes relayed and keeps the warm backends of a re-enabled zone at the warm-up limit.
+func TestReadWithoutChangesEndsTheAssumedWarmupOfAReenabledZone(t *testing.T) {
+	h := newHarness(t)
+	h.send(config(t, 1), read(entry("e1", 1, 0)), evacuated("a"), evacuated())
+	h.clock.Advance(time.Second)
+	until := h.send(read()).Backends["e1"].WarmUntil
+	require.Equal(t, h.clock.Now()+2*time.Second, until, "written before the zone was re-enabled")
+	h.clock.Advance(400 * time.Millisecond)
+	require.Equal(t, until-700*time.Millisecond, h.send(read()).Backends["e1"].WarmUntil)
+}
+
 // Guards against a re-enabled zone that stays at the warm-up limit although its backends are warm.
 func TestWarmBackendsOfReenabledZoneAreUsedSoon(t *testing.T) {
 	h := newHarness(t)
