Add a test of an instance without the store whose peers know a cold backend

Cause: an instance that the store rejects ignores that peers report requests to a cold backend, and goes on sending without limit.

--- a/internal/service/loads/restart_test.go
+++ b/internal/service/loads/restart_test.go
@@ -166,3 +166,42 @@
 	_, attempt = chooseWarmed(s, now, restartedBackend())
 	require.True(t, attempt.Cold, "an entry of the terminated process says nothing about the next one")
 }
+
+// Guards against full load on a cold backend by an instance that the store rejects, although peers report that they send to it as to a
+// cold one; and against instances that keep each other at the limit by such reports.
+func TestInstanceWithoutStoreLearnsOfColdBackendsFromPeers(t *testing.T) {
+	informed, isolated, third := newLoads(), newLoads(), newLoads()
+	for _, s := range []*loads.Service{isolated, third} {
+		s.Handle(nil, service.StoreOutage{Unavailable: true})
+	}
+	now := 2 * time.Second
+	_, attempt := chooseWarmed(isolated, now, restartedBackend())
+	require.False(t, attempt.Cold)
+	chooseWarmed(third, now, restartedBackend())
+	listedCold := restartedBackend()
+	listedCold.WarmUntil = now + time.Second
+	_, attempt = chooseWarmed(informed, now, listedCold)
+	require.True(t, attempt.Cold)
+	exchange(informed, isolated, "informed", now)
+	_, attempt = chooseWarmed(isolated, now, restartedBackend())
+	require.True(t, attempt.Cold)
+	exchange(isolated, third, "isolated", now)
+	_, attempt = chooseWarmed(third, now, restartedBackend())
+	require.False(t, attempt.Cold, "only instances with knowledge of their own report")
+	now += 1100 * time.Millisecond
+	_, attempt = chooseWarmed(isolated, now, restartedBackend())
+	require.False(t, attempt.Cold, "the peer has not reported for a second")
+}
+
+// Guards against backends that stay limited after their warm-up because peers with an older list still report them as cold.
+func TestInstanceWithStoreTrustsItsOwnList(t *testing.T) {
+	s, peer := newLoads(), newLoads()
+	now := 2 * time.Second
+	chooseWarmed(s, now, restartedBackend())
+	listedCold := restartedBackend()
+	listedCold.WarmUntil = now + time.Second
+	chooseWarmed(peer, now, listedCold)
+	exchange(peer, s, "peer", now)
+	_, attempt := chooseWarmed(s, now, restartedBackend())
+	require.False(t, attempt.Cold)
+}
