Count a backend as cold by reports of peers while the store cannot be read

Cause: an instance that the store rejects, and that sent nothing to a backend while it was down, has no evidence of its own that the backend is cold. Peers that read its entry report their requests to it, which were used only to count.

Change: while reads of the store fail, a backend to which a peer has reported requests as to a cold one counts as cold for one second. Requests that are limited for this reason alone are not reported, since instances would keep each other at the limit. The feed sends StoreOutage to loads too. No message between instances changes.

--- a/internal/service/directory.go
+++ b/internal/service/directory.go
@@ -75,7 +75,7 @@
 	At time.Duration
 }
 
-// StoreOutage is sent by the feed to the directory when reads of the store fail and when they succeed again.
+// StoreOutage is sent by the feed to directory, keys and loads when reads of the store fail and when they succeed again.
 type StoreOutage struct {
 	Unavailable bool
 	At          time.Duration
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		e := s.endpoint(b, q.Now)
-		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: b.WarmUntil > q.Now || e.restart.Cold(q.Now), SameZone: b.Zone == q.Zone, Preference: e.preference})
+		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: s.isCold(e, b, q.Now), SameZone: b.Zone == q.Zone, Preference: e.preference})
 		backends = append(backends, b)
 	}
 	work := s.workTimes(q.Service.Name).Of(q.Route)
@@ -52,6 +52,16 @@
 	}
 }
 
+// isCold reports whether a backend counts as cold: by its entry, by a refused connection or, while the store cannot be read, by reports
+// of peers. The caller holds the lock.
+func (s *Service) isCold(e *endpoint, b *catalog.Backend, now time.Duration) bool {
+	if b.WarmUntil > now || e.restart.Cold(now) {
+		e.peerWarmup.Known(now)
+		return true
+	}
+	return s.storeOutage && e.peerWarmup.Cold(now)
+}
+
 // noneUsable returns the refusal of a request for which none of the candidates can be used at the moment.
 func (s *Service) noneUsable(candidates []balance.Candidate, now time.Duration) service.Choice {
 	if retry := balance.ReturnAfterHoldOff(now, candidates, rand.Float64); retry > 0 {
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -49,6 +49,7 @@
 	peerInFlight    map[entity.InstanceID]map[uint32]uint32 // last report of each peer, by short hash of the backend
 	keys            []uint32
 	crashes         crashes
+	storeOutage     bool // the store cannot be read, so that entries may be outdated
 	leaving         leavingReports
 
 	refusedRates, refusedLoad, refusedRetries, warmupRefused, heldOff, restarts metrics.Counter
@@ -62,6 +63,7 @@
 	warmup      *balance.WarmupLimiter
 	lastUsed    time.Duration
 	restart     balance.RestartDetector
+	peerWarmup  balance.PeerWarmup
 	// acceptance is used only for backends that own keys.
 	acceptance balance.AcceptanceRate
 	// preference is this instance's preference for the backend, see balance.Candidate.
@@ -153,11 +155,22 @@
 	}
 }
 
-// Handle implements kernel.Handler. It creates the bucket of each customer as soon as its configuration is known. A bucket
-// created at the first request would have no record of what peers have admitted, and would refuse requests until it had filled.
+// Handle implements kernel.Handler.
 func (s *Service) Handle(t *kernel.Turn, m kernel.Message) {
-	changed, ok := m.(service.DirectoryChanged)
-	if !ok || changed.View.Config == nil {
+	switch m := m.(type) {
+	case service.DirectoryChanged:
+		s.directoryChanged(t, m)
+	case service.StoreOutage:
+		s.mu.Lock()
+		s.storeOutage = m.Unavailable
+		s.mu.Unlock()
+	}
+}
+
+// directoryChanged creates the bucket of each customer as soon as its configuration is known. A bucket created at the first request
+// would have no record of what peers have admitted, and would refuse requests until it had filled.
+func (s *Service) directoryChanged(t *kernel.Turn, changed service.DirectoryChanged) {
+	if changed.View.Config == nil {
 		return
 	}
 	s.mu.Lock()
--- a/internal/service/loads/peers.go
+++ b/internal/service/loads/peers.go
@@ -17,7 +17,7 @@
 		if n := e.InFlight(); n > 0 {
 			r.InFlight[e.hash] = uint32(n)
 		}
-		if n := e.warmup.OwnCount(now); n > 0 {
+		if n := e.warmup.OwnCount(now); n > 0 && e.peerWarmup.Reportable(now) {
 			r.ColdSent[e.hash] = uint32(n)
 		}
 	}
@@ -44,6 +44,7 @@
 	for hash, n := range p.ColdSent {
 		if e := s.endpointsByHash[hash]; e != nil {
 			e.warmup.SetPeerCount(string(p.Instance), int(n), now)
+			e.peerWarmup.PeerReported(now)
 		}
 	}
 	s.applyPeerAdmissions(p, now)
