Test that a move waits for the long grant of an outage

The case was tested on the executor only, not with the messages of the service.

Change: a test of the service on a manual clock: grants of 10 s during an outage of the store, one or three renewals of 5 s after it, then the owner is to leave and does not answer releases.

--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -64,10 +64,11 @@
 	return nil, nil
 }
 
-// sentCommand is a command and the address at which it arrived.
+// sentCommand is a command, the address and, if the backends have a clock, the time at which it arrived.
 type sentCommand struct {
 	keyrange.Command
 	address string
+	at      time.Duration
 }
 
 // backends records the commands that arrive at each address.
@@ -75,6 +76,9 @@
 	mu           sync.Mutex
 	arrived      []sentCommand
 	unresponsive map[string]bool
+	// unreleased is the address of the backend that neither executes nor answers releases.
+	unreleased string
+	clock      kernel.Clock
 	// leaving is the address of the backend that states in its answers that it is leaving.
 	leaving         string
 	recordedLeaving []entity.BackendID // see loadsStub
@@ -86,7 +90,14 @@
 	if b.unresponsive[to.Address] {
 		return keyrange.Result{Command: o, Outcome: keyrange.NotSent}
 	}
-	b.arrived = append(b.arrived, sentCommand{o, to.Address})
+	if o.Kind == keyrange.KindRelease && to.Address == b.unreleased {
+		return keyrange.Result{Command: o, Outcome: keyrange.NoAnswer}
+	}
+	var at time.Duration
+	if b.clock != nil {
+		at = b.clock.Now()
+	}
+	b.arrived = append(b.arrived, sentCommand{o, to.Address, at})
 	return keyrange.Result{Command: o, Outcome: keyrange.Done, Handover: "warm", Leaving: to.Address == b.leaving}
 }
 
@@ -150,11 +161,18 @@
 const testService entity.ServiceName = "stock"
 
 func newHarness(t *testing.T, id entity.InstanceID, store *memoryStore, targets *backends) *harness {
+	t.Helper()
+	return newHarnessWithClock(t, id, store, targets, kernel.NewSystemClock())
+}
+
+func newHarnessWithClock(
+	t *testing.T, id entity.InstanceID, store *memoryStore, targets *backends, clock kernel.Clock,
+) *harness {
 	t.Helper()
 	instance := service.InstanceConfig{ID: id, Zone: "a", MaxGrantTTL: 10 * time.Second}
 	h := &harness{t: t, store: store, backends: targets, keys: keys.New(instance, zap.NewNop(), metrics.NewRegistry())}
 	var err error
-	h.kernel, err = kernel.New(kernel.NewSystemClock(), []kernel.Service{
+	h.kernel, err = kernel.New(clock, []kernel.Service{
 		h.keys,
 		storeStub{stub{name: service.Store}, store},
 		commandsStub{stub{name: service.Endpoints}, targets},
@@ -192,6 +210,15 @@
 	return &catalog.Backend{ID: entity.BackendID(id), Service: testService, Address: address, Zone: "a", Incarnation: incarnation, Slots: 2}
 }
 
+// setStoreUnavailable starts or ends an outage of the store.
+func (h *harness) setStoreUnavailable(unavailable bool) {
+	h.t.Helper()
+	h.store.mu.Lock()
+	h.store.unavailable = unavailable
+	h.store.mu.Unlock()
+	h.deliver(service.StoreOutage{Unavailable: unavailable})
+}
+
 // waitGranted waits until every range of the table is granted to one of the given backends.
 func (h *harness) waitGranted(owners ...string) {
 	h.t.Helper()
