Do not send a request whose deadline has passed while its connection was opened

Cause: by reading. A coordinator that is suspended while it opens a connection to a backend sends the grant when it runs again, if it does so before the timer of the context runs.

Change: Pool.Do compares the deadline with the clock before it writes. A request of a caller whose time has passed is not sent either.

--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -54,6 +54,11 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	// A process that was suspended while the connection was opened may get here before the context's timer runs.
+	if expired(ctx) {
+		c.close()
+		return nil, errors.Join(ErrNotSent, context.DeadlineExceeded)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) }) // unblocks the reader and the writer
 	response, reusable, err := p.exchange(c, r)
 	if !stop() || err != nil || !reusable {
@@ -68,6 +73,12 @@
 	return response, nil
 }
 
+// expired reports whether the context has ended or its deadline has passed.
+func expired(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || (ok && !time.Now().Before(deadline))
+}
+
 // exchange writes the request and reads its answer. It reports whether the connection may be reused.
 func (p *Pool) exchange(c *conn, r *Request) (*Response, bool, error) {
 	raw := r.encode()
--- a/internal/h1/exchange_test.go
+++ b/internal/h1/exchange_test.go
@@ -90,6 +90,32 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// Guards against a grant that reaches a backend after it was given up, because the process was suspended while the connection was opened.
+func TestRequestIsNotSentAfterItsDeadline(t *testing.T) {
+	const limit = 10 * time.Millisecond
+	var received atomic.Int64
+	p := newPeer(t, func(_ int64, _ net.Conn, r *bufio.Reader) {
+		if _, err := r.Peek(1); err == nil {
+			received.Add(1)
+		}
+	})
+	pool := h1.NewPool(h1.Options{
+		Dial: func(_ context.Context, network, address string) (net.Conn, error) {
+			c, err := net.Dial(network, address)
+			time.Sleep(2 * limit)
+			return c, err
+		},
+		DialTimeout: time.Second, MaxIdle: 2, IdleTime: time.Minute, MatchHeader: "Id", MaxBody: 1 << 20,
+	})
+	defer pool.Close()
+	for range 20 {
+		_, err := doWithin(t, pool, p.address, "one", []byte("order"), limit)
+		require.ErrorIs(t, err, h1.ErrNotSent)
+	}
+	time.Sleep(50 * time.Millisecond)
+	require.Zero(t, received.Load(), "requests received after their deadline")
+}
+
 // Guards against returning the late second answer to an earlier request on the same connection.
 func TestLateAnswerToAnotherRequestIsSkipped(t *testing.T) {
 	p := newPeer(t, func(_ int64, c net.Conn, r *bufio.Reader) {
