--- a/internal/decide/keyrange/executor_test.go
+++ b/internal/decide/keyrange/executor_test.go
@@ -162,3 +162,40 @@
 		require.Equal(t, keyrange.BasisTerminated, commands[0].Basis)
 	})
 }
+
+// Guards against two owners after a range was divided while its renewal was in flight: the result is not matched to the parts, so each
+// part must count the end of that renewal.
+func TestPartsOfADividedRangeKeepTheEndOfAGrantInFlight(t *testing.T) {
+	const start = time.Minute
+	owner := keyrange.Holder{ID: "e1", Incarnation: 1}
+	e := grantedRange(t, owner, start)
+	e.UseLongTTL(true)
+	sent := start + simTiming.Renew
+	renewal := dueCommand(t, e, sent)
+	first := keyrange.Range{To: 99, Owner: owner, Fence: 1, Granted: true}
+	second := keyrange.Range{From: 100, To: catalog.KeySpace - 1, Owner: owner, Fence: 1, Granted: true}
+	e.SetState(&keyrange.State{Tables: []keyrange.Table{{Service: simService, Ranges: []keyrange.Range{first, second}}}}, sent)
+	e.HandleResult(keyrange.Result{Command: renewal, Outcome: keyrange.Done}, sent, sent)
+	require.False(t, e.Expired(owner, sent+simTiming.LongGrantTTL*102/100))
+	require.True(t, e.Expired(owner, sent+simTiming.LongGrantTTL*103/100+time.Second))
+}
+
+// Guards against two owners after a range was moved while its renewal was in flight: the result is not matched to the moved range,
+// which must count the end of that renewal.
+func TestMovedRangeWaitsForAGrantInFlight(t *testing.T) {
+	const start = time.Minute
+	previous, next := keyrange.Holder{ID: "e1", Incarnation: 1}, keyrange.Holder{ID: "e2", Incarnation: 1}
+	e := grantedRange(t, previous, start)
+	e.UseLongTTL(true)
+	sent := start + simTiming.Renew
+	renewal := dueCommand(t, e, sent)
+	moved := keyrange.Range{To: catalog.KeySpace - 1, Owner: next, PreviousOwner: previous, Fence: 2}
+	e.SetState(&keyrange.State{Tables: []keyrange.Table{{Service: simService, Ranges: []keyrange.Range{moved}}}}, sent)
+	e.HandleResult(keyrange.Result{Command: renewal, Outcome: keyrange.Done}, sent, sent)
+	until := sent + simTiming.LongGrantTTL*102/100
+	e.ConfirmTable(until)
+	release := dueCommand(t, e, until)
+	require.Equal(t, keyrange.KindRelease, release.Kind, "the grant in flight may still be valid")
+	e.HandleResult(keyrange.Result{Command: release, Outcome: keyrange.NoAnswer}, until, until)
+	require.Equal(t, keyrange.KindGrant, dueCommand(t, e, until+2*time.Second).Kind)
+}
