Do not take a process without a known birth for terminated

Cause: an entry of another writer may lack the birth time.

Change: a holder without a birth time counts as terminated only if another process answers at its address. Otherwise its keys wait for the end of its grants.

--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -118,6 +118,9 @@
 	if s.coordinator.contact(h).replaced {
 		return "another process answered at its address"
 	}
+	if h.Incarnation == 0 {
+		return "" // its entry stated no birth time, so any entry of the same process would look later
+	}
 	if b := s.directory.Backends[h.ID]; b != nil && b.Incarnation > h.Incarnation {
 		return "a later process is listed under its id"
 	}
--- a/internal/service/keys/longgrant_test.go
+++ b/internal/service/keys/longgrant_test.go
@@ -99,3 +99,23 @@
 	})
 	require.Equal(t, "0s", longestOverlap(targets.grantsAt(draining, 0, 0), toOther).String(), "two owners of the same keys")
 }
+
+// Guards against two owners after an entry without a birth time: the complete entry of the same process was taken for a later process.
+func TestUnknownBirthIsNoEvidenceOfTermination(t *testing.T) {
+	const first, other = "10.0.0.1:1", "10.0.0.2:1"
+	clock := kernel.NewManualClock()
+	targets := &backends{unreleased: first, clock: clock}
+	h := newHarnessWithClock(t, "one", &memoryStore{}, targets, clock)
+	h.list(backend("e1", first, 0), backend("e2", other, 1))
+	advanceUntil(t, clock, 30*time.Second, func() bool { return len(targets.grantsAt(first, 0, 0)) >= 10 })
+	complete := backend("e1", first, 7)
+	complete.Draining = true
+	moved := targets.count()
+	h.list(complete, backend("e2", other, 1))
+	var toOther []sentCommand
+	advanceUntil(t, clock, 20*time.Second, func() bool {
+		toOther = overlapping(targets.grantsAt(other, moved, 0), targets.grantsAt(first, 0, 0))
+		return len(toOther) >= 10
+	})
+	require.Equal(t, "0s", longestOverlap(targets.grantsAt(first, 0, 0), toOther).String(), "two owners of the same keys")
+}
