Model grants with two TTLs, and a coordinator that forgets the longer one

Change: grants.pml grants either of two TTLs at any time, and a backend keeps the later end of two grants. The broken variant LAST_RENEWAL counts only the last answered grant. A refused grant no longer counts at the coordinator, as in Executor.HandleResult.

--- a/model/grants.pml
+++ b/model/grants.pml
@@ -6,7 +6,7 @@
  * or lost, or it is partitioned from the store (no confirmation, claim or write) or from a backend (no command). If the store is
  * unavailable, no coordinator reaches it. A command arrives at once or never, because a command that is given up resets its
  * connection; a grant that has arrived may be applied later. A backend's clock may run slow: a grant lasts up to DRIFT longer
- * than its TTL.
+ * than its TTL. A coordinator grants either of two TTLs at any time; a backend keeps the later end of two grants.
  *
  * Broken variants, each of which must violate the assertion:
  *   NO_WAIT       a new coordinator treats a range that was not released as free
@@ -16,12 +16,14 @@
  *   OLD_FENCE     a release carries the fence of the previous assignment
  *   NO_FENCE      a backend accepts grants below the highest fence that it has seen
  *   LATE_COUNT    the TTL of a grant counts from when it is applied
+ *   LAST_RENEWAL  the coordinator counts only the last answered grant, although a longer one before it may end later
  */
 #ifndef MAXLOG
 #define MAXLOG 5             /* number of records that are explored */
 #endif
 #define NONE    2
 #define GRANT_TTL      2     /* Timing.GrantTTL */
+#define LONG_GRANT_TTL 3     /* Timing.LongGrantTTL, during outages of the store */
 #define TABLE_READ_TTL 3     /* TableReadTTL */
 #ifdef NO_DRIFT
 #define DRIFT   0            /* what withDrift adds at the coordinator */
@@ -62,9 +64,9 @@
 #define min(a, b) (a < b -> a : b)
 
 #ifdef NO_HORIZON
-#define grant_ttl(c) GRANT_TTL
+#define grant_ttl(c, ttl) ttl
 #else
-#define grant_ttl(c) min(GRANT_TTL, read_ttl_left[c]) /* Executor.grantTTL */
+#define grant_ttl(c, ttl) min(ttl, read_ttl_left[c]) /* Executor.grantTTL */
 #endif
 #ifdef NO_CONDITION
 #define version_matches(c) true
@@ -82,11 +84,17 @@
 #define release_fence(c) known_fence[c]
 #endif
 #ifdef LATE_COUNT
-#define late_grant_left(b) (GRANT_TTL + SLOW)
+#define late_grant_left(b) (LONG_GRANT_TTL + SLOW)
 #else
 #define late_grant_left(b) late_left[b]
 #endif
 
+#ifdef LAST_RENEWAL
+#define answered_left(c, ticks) (ticks)
+#else
+#define answered_left(c, ticks) max(owner_left[c], ticks) /* Executor.HandleResult */
+#endif
+
 /* Executor.nextCommand: the range may be granted to its owner. */
 #define may_grant(c) (grant_acked[c] || known_previous[c] == NONE || release_acked[c] || previous_left[c] == 0)
 
@@ -105,8 +113,24 @@
 /* A backend applies a grant that expires after the given ticks. */
 inline apply_grant(b, f, ticks) {
     if
-    :: accepts(b, f) -> highest_fence[b] = max(f, highest_fence[b]); grant_left[b] = ticks
+    :: accepts(b, f) -> highest_fence[b] = max(f, highest_fence[b]); grant_left[b] = max(grant_left[b], ticks)
+    :: else
+    fi
+}
+
+/* A grant or renewal that is applied at once, whose answer may be lost, or that has arrived and will be applied later. */
+inline send_grant(c, ttl) {
+    if
+    :: accepts(known_owner[c], known_fence[c]) ->
+        apply_grant(known_owner[c], known_fence[c], ttl + SLOW);
+        if
+        :: grant_acked[c] = true; owner_left[c] = answered_left(c, ttl + DRIFT)
+        :: owner_left[c] = max(owner_left[c], ttl + DRIFT)
+        fi
     :: else
+    :: late_left[known_owner[c]] == 0 ->
+        owner_left[c] = max(owner_left[c], ttl + DRIFT);
+        late_left[known_owner[c]] = ttl + SLOW; late_fence[known_owner[c]] = known_fence[c]
     fi
 }
 
@@ -143,22 +167,8 @@
         :: release_acked[c] = true
         :: true
         fi
-    /* A grant or renewal that is applied at once; the answer may be lost. */
-    :: elected[c] && may_grant(c) && grant_ttl(c) > 0 ->
-        owner_left[c] = max(owner_left[c], grant_ttl(c) + DRIFT);
-        if
-        :: accepts(known_owner[c], known_fence[c]) ->
-            apply_grant(known_owner[c], known_fence[c], grant_ttl(c) + SLOW);
-            if
-            :: grant_acked[c] = true
-            :: true
-            fi
-        :: else
-        fi
-    /* A grant or renewal that has arrived and will be applied later. */
-    :: elected[c] && may_grant(c) && grant_ttl(c) > 0 && late_left[known_owner[c]] == 0 ->
-        owner_left[c] = max(owner_left[c], grant_ttl(c) + DRIFT);
-        late_left[known_owner[c]] = grant_ttl(c) + SLOW; late_fence[known_owner[c]] = known_fence[c]
+    :: elected[c] && may_grant(c) && grant_ttl(c, GRANT_TTL) > 0 -> send_grant(c, grant_ttl(c, GRANT_TTL))
+    :: elected[c] && may_grant(c) && grant_ttl(c, LONG_GRANT_TTL) > GRANT_TTL -> send_grant(c, grant_ttl(c, LONG_GRANT_TTL))
     fi
 }
 
