Merge four copies of the non-blocking reply to a query

admission, config and control each had the same generic function reply, and lease had its body inline. They now use service.SendReply. No change of behaviour; tests of the four services pass.

--- a/internal/service/admission/admission.go
+++ b/internal/service/admission/admission.go
@@ -132,7 +132,7 @@
 	case service.LeaseChanged:
 		s.updateRole(turn.Now())
 	case service.TokensQuery:
-		reply(m.Reply, s.answer(turn.Now(), m.Request))
+		service.SendReply(m.Reply, s.answer(turn.Now(), m.Request))
 	case callDone:
 		s.finishCall(turn, m)
 	case wake:
@@ -230,12 +230,4 @@
 	return ""
 }
 
-// reply sends the answer without blocking. A channel without space for it belongs to a caller that has given up.
-func reply[T any](to chan<- T, answer T) {
-	select {
-	case to <- answer:
-	default:
-	}
-}
-
 var _ service.Admitter = (*Service)(nil)
--- a/internal/service/config/peers.go
+++ b/internal/service/config/peers.go
@@ -182,7 +182,7 @@
 func (s *Service) answerState(turn *kernel.Turn, m service.StateQuery) {
 	state, known := s.replay.State()
 	if !known || (s.tailAt == never && state.Version == 0) {
-		reply(m.Reply, service.StateAnswer{})
+		service.SendReply(m.Reply, service.StateAnswer{})
 		return
 	}
 	logger := s.logger
@@ -191,7 +191,7 @@
 		if err != nil {
 			telemetry.EventConfigEncodeFailed.Log(logger, zap.Error(err))
 		}
-		reply(m.Reply, service.StateAnswer{Available: err == nil, State: data, Offset: state.Next})
+		service.SendReply(m.Reply, service.StateAnswer{Available: err == nil, State: data, Offset: state.Next})
 		return nil
 	})
 }
@@ -201,7 +201,7 @@
 	next := s.replay.Next()
 	records, ok := s.recent.from(m.From, next, m.Limit)
 	if !ok || !s.replay.IsComplete() {
-		reply(m.Reply, service.RecordsAnswer{RelayedBatch: service.RelayedBatch{Age: -1}})
+		service.SendReply(m.Reply, service.RecordsAnswer{RelayedBatch: service.RelayedBatch{Age: -1}})
 		return
 	}
 	answer := service.RecordsAnswer{Available: true, RelayedBatch: service.RelayedBatch{
@@ -210,15 +210,7 @@
 	if s.tailAt != never {
 		answer.Age = now - s.tailAt
 	}
-	reply(m.Reply, answer)
-}
-
-// reply sends the answer without blocking. A channel without space for it belongs to a caller that has given up.
-func reply[T any](to chan<- T, answer T) {
-	select {
-	case to <- answer:
-	default:
-	}
+	service.SendReply(m.Reply, answer)
 }
 
 var _ service.ConfigSource = (*Service)(nil)
--- a/internal/service/control/peers.go
+++ b/internal/service/control/peers.go
@@ -121,7 +121,7 @@
 // answerState answers a query with the own state. Encoding runs outside the control goroutine.
 func (s *Service) answerState(turn *kernel.Turn, m service.StateQuery) {
 	if !s.reader.synced || s.reader.searching {
-		reply(m.Reply, service.StateAnswer{})
+		service.SendReply(m.Reply, service.StateAnswer{})
 		return
 	}
 	chunks, offset, logger := s.state.Chunks(), s.state.Next(), s.logger
@@ -130,7 +130,7 @@
 		if err != nil {
 			telemetry.EventControlEncodeFailed.Log(logger, zap.Error(err))
 		}
-		reply(m.Reply, service.StateAnswer{Available: err == nil, State: state, Offset: offset})
+		service.SendReply(m.Reply, service.StateAnswer{Available: err == nil, State: state, Offset: offset})
 		return nil
 	})
 }
@@ -139,14 +139,14 @@
 	next := s.state.Next()
 	recent, ok := s.reader.recent.from(m.From, next, m.Limit)
 	if !ok || s.reader.searching {
-		reply(m.Reply, service.RecordsAnswer{RelayedBatch: service.RelayedBatch{Age: -1}})
+		service.SendReply(m.Reply, service.RecordsAnswer{RelayedBatch: service.RelayedBatch{Age: -1}})
 		return
 	}
 	batch := service.RelayedBatch{Batch: platformapi.Batch{First: s.firstRecent(), Next: next, Records: recent}, Age: -1}
 	if s.reader.tailSeen {
 		batch.Age = now - s.reader.tailAt
 	}
-	reply(m.Reply, service.RecordsAnswer{Available: true, RelayedBatch: batch})
+	service.SendReply(m.Reply, service.RecordsAnswer{Available: true, RelayedBatch: batch})
 }
 
 func (s *Service) firstRecent() entity.Offset {
@@ -155,11 +155,3 @@
 	}
 	return s.reader.recent.records[0].Offset
 }
-
-// reply sends the answer without blocking. A channel without space for it belongs to a caller that has given up.
-func reply[T any](to chan<- T, answer T) {
-	select {
-	case to <- answer:
-	default:
-	}
-}
--- a/internal/service/lease/heartbeat.go
+++ b/internal/service/lease/heartbeat.go
@@ -185,10 +185,7 @@
 		Delegate: s.delegate(now), Leaving: s.leaving,
 	}
 	s.vote(t, req, &r)
-	select {
-	case m.Reply <- r:
-	default: // the caller has given up
-	}
+	service.SendReply(m.Reply, r)
 }
 
 // vote adds the results of the vote on the request's claims.
