Use cmp.Or instead of three copies of setDefault

operator, internal/settings and internal/service/config each had the same generic function. The function of that name in platformapi also replaces negative values and stays. No change of behaviour; the tests of the touched packages pass.

--- a/internal/service/config/settings.go
+++ b/internal/service/config/settings.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,14 +40,14 @@
 var ErrSettings = errors.New("invalid setting of the configuration service")
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.PollWait, 100*time.Millisecond)
-	setDefault(&s.ReadTimeout, 2*time.Second)
-	setDefault(&s.PeerTimeout, 500*time.Millisecond)
-	setDefault(&s.RelayAfter, 200*time.Millisecond)
-	setDefault(&s.CheckpointRecords, 512)
-	setDefault(&s.CheckpointInterval, 10*time.Minute)
-	setDefault(&s.CheckpointSpread, 5*time.Second)
-	setDefault(&s.KeepRecords, 1024)
+	s.PollWait = cmp.Or(s.PollWait, 100*time.Millisecond)
+	s.ReadTimeout = cmp.Or(s.ReadTimeout, 2*time.Second)
+	s.PeerTimeout = cmp.Or(s.PeerTimeout, 500*time.Millisecond)
+	s.RelayAfter = cmp.Or(s.RelayAfter, 200*time.Millisecond)
+	s.CheckpointRecords = cmp.Or(s.CheckpointRecords, 512)
+	s.CheckpointInterval = cmp.Or(s.CheckpointInterval, 10*time.Minute)
+	s.CheckpointSpread = cmp.Or(s.CheckpointSpread, 5*time.Second)
+	s.KeepRecords = cmp.Or(s.KeepRecords, 1024)
 	if s.Subscribers == nil {
 		s.Subscribers = []kernel.Name{
 			service.Control, service.Lease, service.Session, service.Routing, service.Dispatch, service.Admission,
@@ -55,13 +56,6 @@
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (s Settings) validate() error {
 	durations := []time.Duration{
 		s.PollWait, s.ReadTimeout, s.PeerTimeout, s.RelayAfter, s.CheckpointInterval, s.CheckpointSpread,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"os"
 	"time"
 
@@ -115,18 +116,11 @@
 }
 
 func (s *Settings) setDefaults() {
-	setDefault(&s.Advertise, s.Listen.Peer)
-	setDefault(&s.KeyStaleness, DefaultKeyStaleness)
-	setDefault(&s.LogLevel, DefaultLogLevel)
-	setDefault(&s.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&s.Platform.AppendTimeout, DefaultAppendTimeout)
-	setDefault(&s.Platform.ReadTimeout, DefaultReadTimeout)
-	setDefault(&s.Platform.DialTimeout, DefaultDialTimeout)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	s.Advertise = cmp.Or(s.Advertise, s.Listen.Peer)
+	s.KeyStaleness = cmp.Or(s.KeyStaleness, DefaultKeyStaleness)
+	s.LogLevel = cmp.Or(s.LogLevel, DefaultLogLevel)
+	s.DrainTimeout = cmp.Or(s.DrainTimeout, DefaultDrainTimeout)
+	s.Platform.AppendTimeout = cmp.Or(s.Platform.AppendTimeout, DefaultAppendTimeout)
+	s.Platform.ReadTimeout = cmp.Or(s.Platform.ReadTimeout, DefaultReadTimeout)
+	s.Platform.DialTimeout = cmp.Or(s.Platform.DialTimeout, DefaultDialTimeout)
 }
--- a/operator/defaults.go
+++ b/operator/defaults.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -26,7 +27,7 @@
 		Services:  slices.Clone(c.Services),
 	}
 	for i := range d.Zones {
-		setDefault(&d.Zones[i].State, ZoneActive)
+		d.Zones[i].State = cmp.Or(d.Zones[i].State, ZoneActive)
 	}
 	for i := range d.Customers {
 		d.Customers[i] = d.Customers[i].withDefaults()
@@ -52,14 +53,14 @@
 
 // withDefaults completes the settings of the service and its routes, but not those of its backends.
 func (s Service) withDefaults() Service {
-	setDefault(&s.Partitions, DefaultPartitions)
-	setDefault(&s.MaxRun, DefaultMaxRun)
-	setDefault(&s.CutoffHold, DefaultCutoffHold)
-	setDefault(&s.IdempotencyWindow, DefaultIdempotencyWindow)
+	s.Partitions = cmp.Or(s.Partitions, DefaultPartitions)
+	s.MaxRun = cmp.Or(s.MaxRun, DefaultMaxRun)
+	s.CutoffHold = cmp.Or(s.CutoffHold, DefaultCutoffHold)
+	s.IdempotencyWindow = cmp.Or(s.IdempotencyWindow, DefaultIdempotencyWindow)
 	s.Routes = slices.Clone(s.Routes)
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		setDefault(&r.MaxBody, DefaultMaxBody)
+		r.MaxBody = cmp.Or(r.MaxBody, DefaultMaxBody)
 		if len(r.Methods) == 0 {
 			r.Methods = []string{DefaultMethod}
 			continue
@@ -70,14 +71,7 @@
 }
 
 func (b Backend) withDefaults() Backend {
-	setDefault(&b.MaxConnections, DefaultMaxConnections)
-	setDefault(&b.State, BackendActive)
+	b.MaxConnections = cmp.Or(b.MaxConnections, DefaultMaxConnections)
+	b.State = cmp.Or(b.State, BackendActive)
 	return b
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
