Merge six copies of a sleep that ends with the context

configlog, gateway, dispatch, platformapi.Fake and both stand-in servers each waited on a timer and a context. They now use sleep.For. Decision packages may not import it, since it reads the clock; archtest enforces this.

--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -22,7 +22,7 @@
 	"net", "os", "io", "bufio", "syscall", "context", "encoding", "log", "math/rand",
 	"google.golang.org/protobuf", "storj.io/drpc", "github.com/gin-gonic/gin", "github.com/goccy/go-yaml", "go.uber.org/zap",
 	module + "internal/kernel", module + "internal/service", module + "internal/peer", module + "internal/platformapi",
-	module + "internal/backend", module + "internal/standin", module + "internal/telemetry",
+	module + "internal/backend", module + "internal/standin", module + "internal/telemetry", module + "internal/sleep",
 }
 
 // clockCalls are the functions of package time that read the clock or wait for it.
--- a/internal/configlog/publish.go
+++ b/internal/configlog/publish.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/platformapi"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 	"github.com/pollenpier/pollenpier/operator"
 )
 
@@ -181,7 +182,7 @@
 	}
 	p.attempted = true
 	if err != nil {
-		if pauseErr := pause(ctx, retryPause); pauseErr != nil {
+		if pauseErr := sleep.For(ctx, retryPause); pauseErr != nil {
 			return errors.Join(pauseErr, err)
 		}
 	}
@@ -193,7 +194,7 @@
 	for {
 		batch, err := p.log.Read(ctx, platformapi.StreamConfig, p.replay.Next(), readLimit, readWait)
 		if err != nil && !errors.Is(err, platformapi.ErrTruncated) {
-			if pauseErr := pause(ctx, retryPause); pauseErr != nil {
+			if pauseErr := sleep.For(ctx, retryPause); pauseErr != nil {
 				return errors.Join(pauseErr, err)
 			}
 			continue
@@ -240,15 +241,3 @@
 		Current:  p.replay.Version(),
 	}
 }
-
-// pause waits for d or until the context ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/platformapi/fake.go
+++ b/internal/platformapi/fake.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 )
 
 // Faults are the faults that a Fake injects. The zero value injects none.
@@ -153,15 +154,7 @@
 	f.mu.Lock()
 	faults := f.faults
 	f.mu.Unlock()
-	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-	}
-	if err := ctx.Err(); err != nil {
+	if err := sleep.For(ctx, faults.Delay); err != nil {
 		return faults, errors.Join(ErrUnavailable, err)
 	}
 	if faults.Unavailable {
--- a/internal/service/dispatch/rebalance.go
+++ b/internal/service/dispatch/rebalance.go
@@ -9,6 +9,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 	"github.com/pollenpier/pollenpier/internal/telemetry"
 )
 
@@ -53,10 +54,5 @@
 		return // still busy; a later report tries again
 	}
 	telemetry.EventRebalanced.Log(s.log, zap.String("backend", string(q.id)))
-	timer := time.NewTimer(handOverPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = sleep.For(ctx, handOverPause) // the queue is resumed in any case
 }
--- a/internal/service/gateway/route.go
+++ b/internal/service/gateway/route.go
@@ -13,6 +13,7 @@
 	"github.com/pollenpier/pollenpier/internal/decide/routing"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 )
 
 const (
@@ -177,14 +178,7 @@
 // pause waits for about d. The jitter keeps callers from retrying simultaneously. It returns false if ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	jittered := d/2 + rand.N(d) //nolint:gosec // jitter needs no secure randomness
-	timer := time.NewTimer(jittered)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, jittered) == nil
 }
 
 // replayBody provides the request's body to each attempt. Small bodies are buffered; a larger one can be sent only once.
--- a/internal/standin/backend/run.go
+++ b/internal/standin/backend/run.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 )
 
 // maxBody is the largest request body in bytes.
@@ -189,7 +190,7 @@
 			return EndFenced
 		}
 		p.server.executionLog.markActed(execution, checked)
-		if !sleep(ctx, step) {
+		if sleep.For(ctx, step) != nil {
 			if _, lapsed := p.sessionStep(0); lapsed {
 				return EndFenced
 			}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -5,12 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 )
 
 // Server is a running simulated backend. Its address and its execution log are kept across restarts and crashes of the
@@ -112,7 +112,7 @@
 		return
 	}
 	s.workers.Go(func() {
-		if sleep(s.ctx, s.options.DownTime) {
+		if sleep.For(s.ctx, s.options.DownTime) == nil {
 			_ = s.Restart() // fails if another server uses the address by then
 		}
 	})
@@ -181,15 +181,3 @@
 	s.SetFaults(f)
 	c.JSON(http.StatusOK, f)
 }
-
-// sleep waits for d or until the context ends, and reports whether the context is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/platformapi/wire"
+	"github.com/pollenpier/pollenpier/internal/sleep"
 )
 
 // Options configures a Server. The zero value keeps all records and returns the list without lag or expiry.
@@ -153,7 +154,7 @@
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
-	if !wait(c.Request.Context(), time.Duration(f.LatencyMs)*time.Millisecond) {
+	if sleep.For(c.Request.Context(), time.Duration(f.LatencyMs)*time.Millisecond) != nil {
 		c.Abort()
 		return
 	}
@@ -162,21 +163,6 @@
 	}
 }
 
-// wait waits for d or until the context ends, and reports whether the context is still active.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func refuse(c *gin.Context, status int, text string) {
 	c.AbortWithStatusJSON(status, wire.Error{Error: text})
 }
