Split the lease holder into holder, claims and holding

Declarations are moved only; the constant releaseRetries leaves the block of the constants for claims. Tests of decide/lease and service/lease pass.

--- a/internal/decide/lease/holding.go
+++ b/internal/decide/lease/holding.go
@@ -7,6 +7,24 @@
 	"github.com/pollenpier/pollenpier/internal/entity"
 )
 
+// holding is the state of one name that this holder may claim.
+type holding struct {
+	wanted   bool
+	claiming bool
+	held     bool
+	term     entity.Term
+	// minTerm is the lowest term that a new claim may have.
+	minTerm   entity.Term
+	acks      map[Member]time.Duration
+	refusals  map[Member]bool
+	startedAt time.Duration
+	wantedAt  time.Duration
+	since     time.Duration
+	until     time.Duration
+	retryAt   time.Duration
+	failures  int
+}
+
 // start starts an attempt to claim the name with a new term.
 func (n *holding) start(now time.Duration, term entity.Term) {
 	n.claiming, n.startedAt, n.term = true, now, term
