Share the end of a run in the idempotency memory

RecordAnswer, MarkUnknown and Forget repeated the lookup of the running request and the change of its state and version. They now use endRun. No change of behaviour; tests of decide/outcome and service/dispatch pass.

--- a/internal/decide/outcome/memory.go
+++ b/internal/decide/outcome/memory.go
@@ -181,13 +181,10 @@
 // RecordAnswer records that a running request was answered. The answer is stored unless it is nil or its body exceeds
 // MaxStoredAnswer. RecordAnswer reports false if the request is not running in this process.
 func (m *Memory) RecordAnswer(key Key, answer *Answer, now time.Duration) (Record, bool) {
-	e, ok := m.running(key)
+	e, ok := m.endRun(key, StateAnswered)
 	if !ok {
 		return Record{}, false
 	}
-	e.state = StateAnswered
-	e.local = false
-	m.stamp(e, e.version.Epoch)
 	if answer != nil && len(answer.Body) <= MaxStoredAnswer {
 		m.storeAnswer(e, answer)
 	}
@@ -197,35 +194,33 @@
 // MarkUnknown records that a running request may or may not have run. It reports false if the request is not running in this
 // process.
 func (m *Memory) MarkUnknown(key Key, now time.Duration) (Record, bool) {
-	e, ok := m.running(key)
+	e, ok := m.endRun(key, StateUnknown)
 	if !ok {
 		return Record{}, false
 	}
-	e.state = StateUnknown
-	e.local = false
-	m.stamp(e, e.version.Epoch)
 	return e.record(now), true
 }
 
 // Forget withdraws a running request that has certainly not run, so that a repeat may run. It reports false if the request is not
 // running in this process.
 func (m *Memory) Forget(key Key, now time.Duration) (Record, bool) {
-	e, ok := m.running(key)
+	e, ok := m.endRun(key, StateForgotten)
 	if !ok {
 		return Record{}, false
 	}
-	e.state = StateForgotten
-	e.local = false
-	m.stamp(e, e.version.Epoch)
 	delete(m.entries, key)
 	return e.record(now), true
 }
 
-func (m *Memory) running(key Key) (*entry, bool) {
+// endRun records how a running request ended. It returns false if the request is not running in this process.
+func (m *Memory) endRun(key Key, state State) (*entry, bool) {
 	e, ok := m.entries[key]
 	if !ok || !e.local {
 		return nil, false
 	}
+	e.state = state
+	e.local = false
+	m.stamp(e, e.version.Epoch)
 	return e, true
 }
 
