Move the reads of the configuration stream to their own file

Declarations are moved only; isTruncated, which had one caller and stood in recent.go, is inlined. Tests of the package pass.

--- a/internal/service/config/recent.go
+++ b/internal/service/config/recent.go
@@ -1,14 +1,10 @@
 package config
 
 import (
-	"github.com/go-faster/errors"
-
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/platformapi"
 )
 
-func isTruncated(err error) bool { return errors.Is(err, platformapi.ErrTruncated) }
-
 // recent keeps the last records for peers. Their offsets are consecutive.
 type recent struct {
 	limit   int
