--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -190,9 +190,9 @@
 }
 
 // Guards against uneven admission for a customer whose demand is several times its rate: all instances admit at once what the
-// level allows, learn of each other's admissions a second later, and then refuse every request. On the enlarged Kitabi
-// deployment with a rate of 441, successive seconds admitted 902, 196, 373, 715, 136, 325 and 1021 requests, and the QUOTA
-// check failed where such a peak coincided with a retry.
+// level allows, receive each other's reports of admissions a second later, and then refuse every request. In a large
+// deployment with a rate of 441, successive seconds admitted 902, 196, 373, 715, 136, 325 and 1021 requests, and the customer
+// exceeded its rate where such a peak coincided with a retry.
 func TestOverloadedCustomerIsServedEvenly(t *testing.T) {
 	const instances, zones, start, end = 82, 4, 5 * time.Second, 25 * time.Second
 	for _, times := range []float64{2, 8} {
@@ -242,8 +242,8 @@
 }
 
 // Guards against instances that all start at the same moment during a burst and admit twice their shares of the rate before
-// they have received each other's reports. The QUOTA check of trouble-3 on the enlarged Kitabi deployment failed with 3,589
-// requests in the 5 s around a restart of all instances, where 3,366 were allowed.
+// they have received each other's reports. In a large deployment, a customer ran 3,589 requests in the 5 s around a
+// restart of all instances, where 3,366 were allowed.
 func TestNewInstancesTogetherKeepTheRate(t *testing.T) {
 	const rate, instances, start, length = 507.0, 82, 10 * time.Second, 2 * time.Second
 	for seed := range uint64(10) {
@@ -334,7 +334,7 @@
 }
 
 // Guards against a large customer exceeding its rate because instances are killed before they have reported their admissions.
-// The QUOTA check of trouble-3 on the enlarged Kitabi deployment failed with 3070 requests in 5 s, where 2931 were allowed.
+// In a large deployment, a customer ran 3,070 requests in 5 s, where 2,931 were allowed.
 func TestBurstAcrossKilledInstancesKeepsTheRate(t *testing.T) {
 	const rate, instances, zones, killed = 441.0, 82, 4, 14 * time.Second
 	for seed := range uint64(10) {
