Ask backends for their warm-up while their entries cannot be read

Cause: a running backend may turn cold at any time, in particular while its zone is evacuated, and says so only in its entry. Instances that the store rejects, or that are cut off from the store and their peers, do not learn of the evacuation or of the new entries and go on sending as to warm backends, outside the warm-up limit.

Change: while the reads of the store fail, an instance asks each backend that it uses for its warm-up, every 500 ms, on the status path of its service. Without a recent answer the backend counts as cold. The decision is balance.WarmupCheck; the router sends the check beside the request and does not wait for it. Event 2114 and router.warmup_checks.

TestInstanceWithoutStoreAsksBackendsForTheirWarmup and the tests of the answer come with the change.

--- /dev/null
+++ b/internal/decide/balance/warmupcheck.go
@@ -0,0 +1,44 @@
+package balance
+
+import "time"
+
+// Times of the status checks that ask backends for their warm-up.
+const (
+	// warmupCheckInterval is the time between two checks of a backend. The requests of an interval may reach a backend that has
+	// just turned cold without limit, so it is a part of warmupWindow.
+	warmupCheckInterval = warmupWindow / 2
+	// warmupCheckTTL is how long the answer to a check counts: until that to the next one is due.
+	warmupCheckTTL = warmupCheckInterval + 300*time.Millisecond
+)
+
+// WarmupCheck is what status checks tell about the warm-up of a backend. An instance that cannot read the backends' entries uses it,
+// since a running backend may turn cold at any time. The zero value has no answers. It is not safe for concurrent use.
+type WarmupCheck struct {
+	running   bool
+	startedAt time.Duration
+	checkedAt time.Duration // when the last answered check was sent
+	answered  bool
+	coldUntil time.Duration
+}
+
+// Start reports whether a check is due and records that it is sent now.
+func (w *WarmupCheck) Start(now time.Duration) bool {
+	if w.running || (w.startedAt > 0 && now-w.startedAt < warmupCheckInterval) {
+		return false
+	}
+	w.running, w.startedAt = true, now
+	return true
+}
+
+// Answered records the answer to the check that was started last: the backend stays cold for the remaining time.
+func (w *WarmupCheck) Answered(remaining, now time.Duration) {
+	w.running, w.answered, w.checkedAt, w.coldUntil = false, true, w.startedAt, now+remaining
+}
+
+// Failed records that the check that was started last got no answer from the backend.
+func (w *WarmupCheck) Failed() { w.running = false }
+
+// Cold reports whether the backend counts as cold: it does unless a recent answer says otherwise.
+func (w *WarmupCheck) Cold(now time.Duration) bool {
+	return !w.answered || now-w.checkedAt >= warmupCheckTTL || now < w.coldUntil
+}
--- /dev/null
+++ b/internal/decide/balance/warmupcheck_test.go
@@ -0,0 +1,29 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pollenpier/pollenpier/internal/decide/balance"
+)
+
+// Guards against full load on a backend that nobody has asked lately whether it is cold, and against needless checks.
+func TestBackendIsWarmOnlyAfterARecentCheck(t *testing.T) {
+	var check balance.WarmupCheck
+	now := 5 * time.Second
+	require.True(t, check.Cold(now), "not checked")
+	require.True(t, check.Start(now))
+	require.False(t, check.Start(now), "a check is in flight")
+	check.Answered(0, now+10*time.Millisecond)
+	require.False(t, check.Cold(now+400*time.Millisecond))
+	require.False(t, check.Start(now+400*time.Millisecond))
+	require.True(t, check.Start(now+500*time.Millisecond))
+	check.Failed()
+	require.True(t, check.Cold(now+time.Second), "the last answer is too old")
+	require.True(t, check.Start(now+time.Second))
+	check.Answered(2*time.Second, now+time.Second)
+	require.True(t, check.Start(now+1500*time.Millisecond))
+	require.True(t, check.Cold(now+1600*time.Millisecond), "the backend has said that it is cold")
+}
--- a/internal/service/calls.go
+++ b/internal/service/calls.go
@@ -85,3 +85,10 @@
 type Deliverer interface {
 	Deliver(ctx context.Context, d Delivery) DeliveryResult
 }
+
+// WarmupChecker asks backends for their warm-up.
+type WarmupChecker interface {
+	// CheckWarmup returns how much longer a backend is cold. Path is the status path of the backend's service. An answer of another
+	// process at its address is an error.
+	CheckWarmup(ctx context.Context, backend *catalog.Backend, path string) (time.Duration, error)
+}
--- a/internal/service/loads.go
+++ b/internal/service/loads.go
@@ -31,6 +31,8 @@
 	// ExpectedLatency is the time until the answer is expected. RetryAfter is the time until a slot is likely to be free if
 	// there is none now.
 	ExpectedLatency, RetryAfter time.Duration
+	// Checks are backends whose warm-up is to be checked now, see WarmupChecker.
+	Checks []*catalog.Backend
 }
 
 // LoadTracker tracks the load of backends and customers as measured by this instance and reported by its peers. It admits
@@ -44,6 +46,9 @@
 	Choose(q LoadQuery) (Choice, Attempt)
 	// FinishAttempt records the result of an attempt.
 	FinishAttempt(a Attempt, r *DeliveryResult, now time.Duration)
+	// FinishWarmupCheck records the result of a check that Choose has asked for. If ok is set, the backend has answered that it stays
+	// cold for the remaining time.
+	FinishWarmupCheck(backend *catalog.Backend, remaining time.Duration, ok bool, now time.Duration)
 	// TakeRetryToken takes a token from the retry budget of a service and returns false if there is none.
 	TakeRetryToken(service entity.ServiceName) bool
 	// CountRequest counts a request for a service, which adds to the service's retry budget, and the key that it requests.
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -22,22 +22,30 @@
 			continue
 		}
 		e := s.endpoint(b, q.Now)
-		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: s.isCold(e, b, q.Now), SameZone: b.Zone == q.Zone, Preference: e.preference})
+		candidates = append(candidates, balance.Candidate{Endpoint: e.Endpoint, Cold: s.isCold(e, b, &q), SameZone: b.Zone == q.Zone, Preference: e.preference})
 		backends = append(backends, b)
 	}
 	work := s.workTimes(q.Service.Name).Of(q.Route)
+	var checks []*catalog.Backend
 	for {
 		i := balance.Choose(q.Now, work, candidates, q.Goal.LocalLimit(), rand.Float64)
 		if i < 0 {
-			return s.noneUsable(candidates, q.Now), service.Attempt{}
+			choice := s.noneUsable(candidates, q.Now)
+			choice.Checks = checks
+			return choice, service.Attempt{}
 		}
 		b, c := backends[i], candidates[i]
+		if s.checksWarmup(&q) && s.endpoints[b.ID].check.Start(q.Now) {
+			checks = append(checks, b)
+		}
 		expected := c.Endpoint.Expected(q.Now, work, c.Cold)
 		if ok, retry := balance.WorthSending(expected, c.Endpoint.ServiceTime(q.Now, work), q.Goal); !ok {
 			s.refusedLoad.Inc(1)
 			acceptance := s.acceptance(q, b.ID)
 			acceptance.Record(false, q.Now)
-			return service.Choice{Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry)}, service.Attempt{}
+			return service.Choice{
+				Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry), Checks: checks,
+			}, service.Attempt{}
 		}
 		e := s.endpoints[b.ID]
 		if c.Cold && q.Service.WarmupRate > 0 && !s.takeWarmup(e, &q) {
@@ -47,19 +55,19 @@
 			continue
 		}
 		s.acceptance(q, b.ID).Record(true, q.Now)
-		return service.Choice{Backend: b, ExpectedLatency: expected}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now,
+		return service.Choice{Backend: b, ExpectedLatency: expected, Checks: checks}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now,
 			Cold: c.Cold, Warmup: q.Service.Warmup, Service: q.Service.Name, Route: q.Route, Work: work}
 	}
 }
 
 // isCold reports whether a backend counts as cold: by its entry, by a refused connection or, while the store cannot be read, by reports
-// of peers. The caller holds the lock.
-func (s *Service) isCold(e *endpoint, b *catalog.Backend, now time.Duration) bool {
-	if b.WarmUntil > now || e.restart.Cold(now) {
-		e.peerWarmup.Known(now)
+// of peers and by its answers to status checks. The caller holds the lock.
+func (s *Service) isCold(e *endpoint, b *catalog.Backend, q *service.LoadQuery) bool {
+	if b.WarmUntil > q.Now || e.restart.Cold(q.Now) {
+		e.peerWarmup.Known(q.Now)
 		return true
 	}
-	return s.storeOutage && e.peerWarmup.Cold(now)
+	return (s.storeOutage && e.peerWarmup.Cold(q.Now)) || (s.checksWarmup(q) && e.check.Cold(q.Now))
 }
 
 // noneUsable returns the refusal of a request for which none of the candidates can be used at the moment.
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -67,6 +67,7 @@
 	lastUsed   time.Duration
 	restart    balance.RestartDetector
 	peerWarmup balance.PeerWarmup
+	check      balance.WarmupCheck
 	// acceptance is used only for backends that own keys.
 	acceptance balance.AcceptanceRate
 	// preference is this instance's preference for the backend, see balance.Candidate.
--- a/internal/service/loads/warmup_test.go
+++ b/internal/service/loads/warmup_test.go
@@ -69,3 +69,30 @@
 	}
 	require.Equal(t, wholeColdRate, sent)
 }
+
+// Guards against full load on a running backend that has turned cold, by an instance that cannot read its entry: in plays of the bench
+// such instances sent to the backends of a re-enabled zone as to warm ones.
+func TestInstanceWithoutStoreAsksBackendsForTheirWarmup(t *testing.T) {
+	b := &catalog.Backend{ID: "cold", Incarnation: 1, Slots: 200, Zone: "a"}
+	members := &service.MembersView{Instances: []entity.InstanceID{testInstance.ID}, KnownCount: 1}
+	s := newLoads()
+	q := warmupQuery(b, false, members, 5*time.Second)
+	q.Service.HealthPath = "/healthz"
+	require.Equal(t, 50, sentTo(s, q), "the entry can be read")
+
+	s.Handle(nil, service.StoreOutage{Unavailable: true})
+	choice, _ := s.Choose(q)
+	require.Equal(t, []*catalog.Backend{b}, choice.Checks)
+	require.Equal(t, wholeColdRate-1, sentTo(s, q), "not checked yet")
+	s.FinishWarmupCheck(b, 0, true, q.Now)
+	require.Equal(t, 50, sentTo(s, q), "the backend is warm")
+
+	q.Now += 600 * time.Millisecond
+	choice, _ = s.Choose(q)
+	require.Equal(t, []*catalog.Backend{b}, choice.Checks, "the next check is due")
+	s.FinishWarmupCheck(b, time.Minute, true, q.Now)
+	q.Now += time.Second
+	require.Equal(t, wholeColdRate, sentTo(s, q), "the backend has turned cold")
+	s.Handle(nil, service.StoreOutage{})
+	require.Equal(t, 50, sentTo(s, q), "the entry can be read again")
+}
--- a/internal/service/router/choose.go
+++ b/internal/service/router/choose.go
@@ -139,11 +139,15 @@
 // choose selects a backend and counts the request there.
 func (s *Service) choose(c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
 	now := s.kernel.Now()
-	return s.loads.Choose(service.LoadQuery{
+	choice, attempt := s.loads.Choose(service.LoadQuery{
 		Service: c.service, Route: c.route.Name, Candidates: candidates, Excluded: c.tried, Zone: s.instance.Zone,
 		Members: s.members.MembersView(), Now: now,
 		Goal: balance.LatencyGoal{
 			Target: c.route.LatencyTarget, Remaining: c.deadline - now, Waited: now - c.call.Received, Priority: c.priority,
 		},
 	})
+	for _, b := range choice.Checks {
+		s.checkWarmup(b, c.service)
+	}
+	return choice, attempt
 }
--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -82,6 +82,10 @@
 	delivered []entity.BackendID
 }
 
+func (s *fakeEndpoints) CheckWarmup(context.Context, *catalog.Backend, string) (time.Duration, error) {
+	return 0, nil
+}
+
 func (s *fakeEndpoints) Deliver(_ context.Context, d service.Delivery) service.DeliveryResult {
 	s.delivered = append(s.delivered, d.Backend.ID)
 	return s.answer(d)
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -32,14 +33,16 @@
 	members   service.MembersSource
 	loads     service.LoadTracker
 	endpoints service.Deliverer
+	checker   service.WarmupChecker
+	checks    sync.WaitGroup // warm-up checks in flight
 	meters    meters
 }
 
 // meters count calls by outcome and measure the time until the reply, in nanoseconds.
 type meters struct {
-	calls, answered, notRun, unknown, retries, sentCold metrics.Counter
-	took                                                metrics.Timer
-	registry                                            metrics.Registry
+	calls, answered, notRun, unknown, retries, sentCold, warmupChecks metrics.Counter
+	took                                                              metrics.Timer
+	registry                                                          metrics.Registry
 }
 
 // New returns the router service of an instance. It registers its metrics in r.
@@ -51,6 +54,9 @@
 		unknown:  metrics.GetOrRegisterCounter("router.unknown", r),
 		retries:  metrics.GetOrRegisterCounter("router.repeats", r),
 		sentCold: metrics.GetOrRegisterCounter("router.sent_cold", r),
+
+		warmupChecks: metrics.GetOrRegisterCounter("router.warmup_checks", r),
+
 		took:     metrics.GetOrRegisterTimer("router.took", r),
 		registry: r,
 	}}
@@ -80,15 +86,21 @@
 	if s.loads, err = kernel.Lookup[service.LoadTracker](r, service.Loads); err != nil {
 		return err
 	}
-	s.endpoints, err = kernel.Lookup[service.Deliverer](r, service.Endpoints)
+	if s.endpoints, err = kernel.Lookup[service.Deliverer](r, service.Endpoints); err != nil {
+		return err
+	}
+	s.checker, err = kernel.Lookup[service.WarmupChecker](r, service.Endpoints)
 	return err
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(context.Context) error { return nil }
 
-// Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error { return nil }
+// Stop waits for the warm-up checks in flight.
+func (s *Service) Stop(context.Context) error {
+	s.checks.Wait()
+	return nil
+}
 
 // Ready reports whether a configuration is effective and, if a service is partitioned, the table of key ranges is known.
 func (s *Service) Ready() bool {
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -20,6 +20,8 @@
 
 	EventBackendRefusedConnection = define(2113, zapcore.InfoLevel, "backend refused a connection, the process that answers next counts as cold")
 
+	EventWarmupCheckFailed = define(2114, zapcore.InfoLevel, "backend did not answer a check of its warm-up and counts as cold")
+
 	EventCoordinatorClaim  = define(2120, zapcore.InfoLevel, "claiming the coordinator role for key ranges")
 	EventCoordinatorGained = define(2121, zapcore.InfoLevel, "coordinating key ranges")
 	EventCoordinatorLost   = define(2122, zapcore.InfoLevel, "no longer coordinating key ranges")
