--- a/internal/decide/balance/warmupcheck.go
+++ b/internal/decide/balance/warmupcheck.go
@@ -4,9 +4,10 @@
 
 // Times of the status checks that ask backends for their warm-up.
 const (
-	// warmupCheckInterval is the time between two checks of a backend. The requests of an interval may reach a backend that has
-	// just turned cold without limit, so it is a part of warmupWindow.
+	// warmupCheckInterval is the time between two checks of a backend, and warmupCheckRequests the number of requests after which the
+	// next one is due earlier. As many requests may reach a backend that has just turned cold without limit, from each instance.
 	warmupCheckInterval = warmupWindow / 2
+	warmupCheckRequests = 2
 	// warmupCheckTTL is how long the answer to a check counts: until that to the next one is due.
 	warmupCheckTTL = warmupCheckInterval + 300*time.Millisecond
 )
@@ -16,17 +17,19 @@
 type WarmupCheck struct {
 	running   bool
 	startedAt time.Duration
+	requests  int           // since the last check was sent
 	checkedAt time.Duration // when the last answered check was sent
 	answered  bool
 	coldUntil time.Duration
 }
 
-// Start reports whether a check is due and records that it is sent now.
+// Start counts a request for the backend. It reports whether a check is due, and records that it is sent now.
 func (w *WarmupCheck) Start(now time.Duration) bool {
-	if w.running || (w.startedAt > 0 && now-w.startedAt < warmupCheckInterval) {
+	w.requests++
+	if w.running || (w.startedAt > 0 && now-w.startedAt < warmupCheckInterval && w.requests <= warmupCheckRequests) {
 		return false
 	}
-	w.running, w.startedAt = true, now
+	w.running, w.startedAt, w.requests = true, now, 0
 	return true
 }
 
--- a/internal/service/loads/warmup_test.go
+++ b/internal/service/loads/warmup_test.go
@@ -86,6 +86,7 @@
 	require.Equal(t, wholeColdRate-1, sentTo(s, q), "not checked yet")
 	s.FinishWarmupCheck(b, 0, true, q.Now)
 	require.Equal(t, 50, sentTo(s, q), "the backend is warm")
+	s.FinishWarmupCheck(b, 0, true, q.Now) // another check was due after a few requests
 
 	q.Now += 600 * time.Millisecond
 	choice, _ = s.Choose(q)
