Free the keys of a restarted backend only when its next process has dropped them

What callers could see: two backends that serve the same keys for up to the TTL of a grant.

Cause: a backend that restarts under its ID and address takes renewals that are meant for its previous process, until its new entry is read. Then the previous process counted as terminated, and its keys went to another backend at once, without a release, while the new process still held them. The fence is raised at a new process before its first command, but a cold process is assigned no keys, so it got none.

Change: a later process under the same ID is evidence of termination only once the fence was raised at it, which makes it drop its grants and refuse late renewals. The coordinator does that as soon as the process is listed. The fence that is raised is the next one of the table instead of the largest number, below which a process could never be granted anything.

--- a/internal/decide/balance/restart.go
+++ b/internal/decide/balance/restart.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// refusalTTL is how long a refused connection counts if no process answers. The entry of the next process has been read by then, or
+// status checks tell about the warm-up.
+const refusalTTL = 5 * time.Second
+
 // RestartDetector decides from connections whether a backend that is listed as warm may have restarted. A refused connection proves that
 // no process listened at that moment, so the process that answers later has started since and is cold. A reset connection proves nothing,
 // because full backends reset connections. The zero value has seen no connections. It is not safe for concurrent use.
@@ -19,7 +23,7 @@
 // Answered records that a request that was sent at the given time was answered. It reports whether the process that answered counts as
 // cold from then on, because it has started after a refused connection. Warmup is how long a backend is cold after its start.
 func (r *RestartDetector) Answered(sent, now, warmup time.Duration) bool {
-	if !r.refused || sent < r.refusedAt {
+	if !r.refused || sent < r.refusedAt || now-r.refusedAt >= refusalTTL {
 		return false
 	}
 	r.refused, r.coldUntil = false, now+warmup
@@ -27,4 +31,6 @@
 }
 
 // Cold reports whether the backend counts as cold because it may have restarted.
-func (r *RestartDetector) Cold(now time.Duration) bool { return r.refused || now < r.coldUntil }
+func (r *RestartDetector) Cold(now time.Duration) bool {
+	return (r.refused && now-r.refusedAt < refusalTTL) || now < r.coldUntil
+}
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -30,7 +30,9 @@
 	failing  time.Duration // since when commands are not answered; zero if they are
 	replaced bool          // another process answered at its address
 	fenced   bool          // it refuses grants to earlier processes of its id
-	absent   time.Duration // since when it is not listed; zero if it is
+	// nextFence is the earliest time to raise the fence again.
+	nextFence time.Duration
+	absent    time.Duration // since when it is not listed; zero if it is
 	// terminated is true once its termination has been logged.
 	terminated bool
 }
@@ -78,6 +80,7 @@
 	if now >= s.coordinator.nextPlan && !s.writing && !s.reading && s.seen <= s.version {
 		s.plan(t)
 	}
+	s.fenceNextProcesses(t)
 	s.coordinator.executor.ConfirmTable(s.readAt)
 	if now-s.readAt > keyrange.TableReadTTL {
 		telemetry.EventRenewalsPaused.Log(s.log, zap.Duration("confirmed_ago", now-s.readAt))
@@ -121,7 +124,10 @@
 	if h.Incarnation == 0 {
 		return "" // its entry stated no birth time, so any entry of the same process would look later
 	}
-	if b := s.directory.Backends[h.ID]; b != nil && b.Incarnation > h.Incarnation {
+	if next, ok := s.nextProcess(h); ok {
+		if !s.coordinator.contact(next).fenced {
+			return "" // it may have taken renewals
+		}
 		return "a later process is listed under its id"
 	}
 	if b := s.processes[h]; b != nil && s.replaced(h, b) {
@@ -255,9 +261,46 @@
 	return true
 }
 
-// raiseFence makes a new process reject grants that were sent to an earlier process at its address.
+// nextProcess returns the process that is listed under the id of a process and has started later.
+func (s *Service) nextProcess(h keyrange.Holder) (keyrange.Holder, bool) {
+	b := s.directory.Backends[h.ID]
+	if h.Incarnation == 0 || b == nil || b.Incarnation <= h.Incarnation {
+		return keyrange.Holder{}, false
+	}
+	return keyrange.Holder{ID: b.ID, Incarnation: b.Incarnation}, true
+}
+
+// fenceNextProcesses raises the fence at the processes that run under the id of an owner. Until its entry was read, such a process may
+// have taken renewals that were meant for the owner, so the owner's keys are free only when it has dropped them.
+func (s *Service) fenceNextProcesses(t *kernel.Turn) {
+	for i := range s.state.Tables {
+		for j := range s.state.Tables[i].Ranges {
+			r := &s.state.Tables[i].Ranges[j]
+			for _, h := range []keyrange.Holder{r.Owner, r.PreviousOwner} {
+				if next, ok := s.nextProcess(h); ok {
+					s.fenceProcess(t, next)
+				}
+			}
+		}
+	}
+}
+
+// fenceProcess raises the fence at a process that was not granted anything yet, once. Those that were are fenced.
+func (s *Service) fenceProcess(t *kernel.Turn, h keyrange.Holder) {
+	k := s.coordinator.contact(h)
+	switch {
+	case k.fenced || k.busy || t.Now() < k.nextFence:
+	case s.ownsNothing(h):
+		s.raiseFence(t, h, k)
+	default:
+		k.fenced = true
+	}
+}
+
+// raiseFence makes a new process drop and reject grants that were sent to an earlier process at its address. Ranges that are assigned
+// to it later have higher fences.
 func (s *Service) raiseFence(t *kernel.Turn, h keyrange.Holder, k *backendContact) {
-	lowest := ^uint64(0)
+	lowest := s.state.LastFence + 1
 	for i := range s.state.Tables {
 		for _, r := range s.state.Tables[i].Ranges {
 			if r.Owner == h {
@@ -266,7 +309,7 @@
 		}
 	}
 	b := s.address(h)
-	k.busy = true
+	k.busy, k.nextFence = true, t.Now()+commandRetryDelay
 	t.Go(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 		defer cancel()
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -101,7 +101,15 @@
 	return keyrange.Result{Command: o, Outcome: keyrange.Done, Handover: "warm", Leaving: to.Address == b.leaving}
 }
 
-func (b *backends) RaiseFence(context.Context, *catalog.Backend, uint64) error { return nil }
+// RaiseFence records the release of all keys.
+func (b *backends) RaiseFence(_ context.Context, to *catalog.Backend, fence uint64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrived = append(b.arrived, sentCommand{address: to.Address, Command: keyrange.Command{
+		Kind: keyrange.KindRelease, To: catalog.KeySpace - 1, Fence: fence, Target: keyrange.Holder{ID: to.ID, Incarnation: to.Incarnation},
+	}})
+	return nil
+}
 
 // since returns the commands that arrived after the first n.
 func (b *backends) since(n int) []sentCommand {
