--- a/internal/decide/balance/restart.go
+++ b/internal/decide/balance/restart.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// refusalTTL is how long a refused connection counts if no process answers. The entry of the next process has been read by then, or
-// status checks tell about the warm-up.
+// refusalTTL is how long a backend counts as cold after a refused connection if no process answers. Without it, an instance whose quota
+// for cold backends is zero would never use the backend again.
 const refusalTTL = 5 * time.Second
 
 // RestartDetector decides from connections whether a backend that is listed as warm may have restarted. A refused connection proves that
@@ -23,7 +23,7 @@
 // Answered records that a request that was sent at the given time was answered. It reports whether the process that answered counts as
 // cold from then on, because it has started after a refused connection. Warmup is how long a backend is cold after its start.
 func (r *RestartDetector) Answered(sent, now, warmup time.Duration) bool {
-	if !r.refused || sent < r.refusedAt || now-r.refusedAt >= refusalTTL {
+	if !r.refused || sent < r.refusedAt {
 		return false
 	}
 	r.refused, r.coldUntil = false, now+warmup
--- a/internal/service/loads/restart_test.go
+++ b/internal/service/loads/restart_test.go
@@ -221,3 +221,22 @@
 	_, attempt := chooseWarmed(s, now, restartedBackend())
 	require.False(t, attempt.Cold)
 }
+
+// Guards against a warm backend that an instance without a quota for cold backends never uses again after one refused connection.
+func TestOneRefusedConnectionDoesNotLimitAWarmBackendWithoutEnd(t *testing.T) {
+	const instances = 20 // more than twice the rate, so that most of them have no quota
+	view := &service.MembersView{KnownCount: instances}
+	for i := range instances {
+		view.Instances = append(view.Instances, entity.InstanceID(fmt.Sprint(i)))
+	}
+	for _, id := range view.Instances {
+		instance := testInstance
+		instance.ID = id
+		s := loads.New(instance, metrics.NewRegistry())
+		now := 2 * time.Second
+		_, attempt := chooseAmong(s, view, now, restartedBackend())
+		s.FinishAttempt(attempt, refusedConnection, now)
+		choice, _ := chooseAmong(s, view, now+10*time.Second, restartedBackend())
+		require.NotNil(t, choice.Backend, "instance %s", id)
+	}
+}
