Wait for the answer to a warm-up check instead of refusing the request

Cause: while the store cannot be read, a backend without a recent check counted as cold. An instance whose quota for it is used up, or zero, refused the request although the answer takes milliseconds; with many instances most requests meet such a backend in an outage. The expected time of the request was doubled, too.

Change: a backend without a recent answer is within the warm-up limit but does not count as slow. A request that the limit refuses only for that reason waits for the answer, 60 ms at most, and is chosen for again. One choice asks for two checks at most.

--- a/internal/decide/balance/warmupcheck.go
+++ b/internal/decide/balance/warmupcheck.go
@@ -41,7 +41,10 @@
 // Failed records that the check that was started last got no answer from the backend.
 func (w *WarmupCheck) Failed() { w.running = false }
 
-// Cold reports whether the backend counts as cold: it does unless a recent answer says otherwise.
-func (w *WarmupCheck) Cold(now time.Duration) bool {
-	return !w.answered || now-w.checkedAt >= warmupCheckTTL || now < w.coldUntil
+// Cold reports whether the backend has answered that it is cold.
+func (w *WarmupCheck) Cold(now time.Duration) bool { return now < w.coldUntil }
+
+// Unknown reports whether there is no recent answer, so that the backend may have turned cold.
+func (w *WarmupCheck) Unknown(now time.Duration) bool {
+	return !w.answered || now-w.checkedAt >= warmupCheckTTL
 }
--- a/internal/service/loads.go
+++ b/internal/service/loads.go
@@ -31,8 +31,10 @@
 	// ExpectedLatency is the time until the answer is expected. RetryAfter is the time until a slot is likely to be free if
 	// there is none now.
 	ExpectedLatency, RetryAfter time.Duration
-	// Checks are backends whose warm-up is to be checked now, see WarmupChecker.
-	Checks []*catalog.Backend
+	// Checks are backends whose warm-up is to be checked now, see WarmupChecker. AwaitsCheck is true if there is no backend now but may
+	// be one as soon as a check is answered.
+	Checks      []*catalog.Backend
+	AwaitsCheck bool
 }
 
 // LoadTracker tracks the load of backends and customers as measured by this instance and reported by its peers. It admits
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -27,15 +27,17 @@
 	}
 	work := s.workTimes(q.Service.Name).Of(q.Route)
 	var checks []*catalog.Backend
+	awaitsCheck := false
 	for {
 		i := balance.Choose(q.Now, work, candidates, q.Goal.LocalLimit(), rand.Float64)
 		if i < 0 {
 			choice := s.noneUsable(candidates, q.Now)
-			choice.Checks = checks
+			choice.Checks, choice.AwaitsCheck = checks, awaitsCheck
 			return choice, service.Attempt{}
 		}
 		b, c := backends[i], candidates[i]
-		if s.checksWarmup(&q) && s.endpoints[b.ID].check.Start(q.Now) {
+		e := s.endpoints[b.ID]
+		if s.checksWarmup(&q) && e.check.Start(q.Now) {
 			checks = append(checks, b)
 		}
 		expected := c.Endpoint.Expected(q.Now, work, c.Cold)
@@ -47,9 +49,13 @@
 				Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry), Checks: checks,
 			}, service.Attempt{}
 		}
-		e := s.endpoints[b.ID]
-		if c.Cold && q.Service.WarmupRate > 0 && !s.takeWarmup(e, &q) {
+		unknown := !c.Cold && s.checksWarmup(&q) && e.check.Unknown(q.Now)
+		if (c.Cold || unknown) && q.Service.WarmupRate > 0 && !s.takeWarmup(e, &q) {
 			s.warmupRefused.Inc(1)
+			awaitsCheck = awaitsCheck || unknown
+			if len(checks) == maxChecks {
+				return service.Choice{Reason: entity.ReasonUnreachable, RetryAfter: unreachableRetry, Checks: checks, AwaitsCheck: true}, service.Attempt{}
+			}
 			candidates[i], backends[i] = candidates[len(candidates)-1], backends[len(backends)-1]
 			candidates, backends = candidates[:len(candidates)-1], backends[:len(backends)-1]
 			continue
@@ -60,6 +66,9 @@
 	}
 }
 
+// maxChecks bounds the warm-up checks that one choice asks for.
+const maxChecks = 2
+
 // isCold reports whether a backend counts as cold: by its entry, by a refused connection or, while the store cannot be read, by reports
 // of peers and by its answers to status checks. The caller holds the lock.
 func (s *Service) isCold(e *endpoint, b *catalog.Backend, q *service.LoadQuery) bool {
--- a/internal/service/loads/warmup_test.go
+++ b/internal/service/loads/warmup_test.go
@@ -84,6 +84,9 @@
 	choice, _ := s.Choose(q)
 	require.Equal(t, []*catalog.Backend{b}, choice.Checks)
 	require.Equal(t, wholeColdRate-1, sentTo(s, q), "not checked yet")
+	choice, _ = s.Choose(q)
+	require.Nil(t, choice.Backend)
+	require.True(t, choice.AwaitsCheck)
 	s.FinishWarmupCheck(b, 0, true, q.Now)
 	require.Equal(t, 50, sentTo(s, q), "the backend is warm")
 	s.FinishWarmupCheck(b, 0, true, q.Now) // another check was due after a few requests
--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -34,7 +34,7 @@
 		if candidates == nil {
 			return s.earlierReply(best, service.Reply{Outcome: outcome, RetryAfter: ownerRetry})
 		}
-		choice, attempt := s.choose(c, candidates)
+		choice, attempt := s.choose(ctx, c, candidates)
 		if choice.Backend == nil {
 			return s.earlierReply(best, s.refusal(c, choice))
 		}
--- a/internal/service/router/choose.go
+++ b/internal/service/router/choose.go
@@ -136,8 +136,23 @@
 	}
 }
 
-// choose selects a backend and counts the request there.
-func (s *Service) choose(c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
+// Waits for the answers to warm-up checks, which take a few milliseconds.
+const (
+	warmupCheckPause = 10 * time.Millisecond
+	maxWarmupPauses  = 6
+)
+
+// choose selects a backend and counts the request there. It waits for warm-up checks if there is no backend otherwise.
+func (s *Service) choose(ctx context.Context, c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
+	for pauses := 0; ; pauses++ {
+		choice, attempt := s.chooseNow(c, candidates)
+		if !choice.AwaitsCheck || pauses == maxWarmupPauses || !pause(ctx, warmupCheckPause) {
+			return choice, attempt
+		}
+	}
+}
+
+func (s *Service) chooseNow(c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
 	now := s.kernel.Now()
 	choice, attempt := s.loads.Choose(service.LoadQuery{
 		Service: c.service, Route: c.route.Name, Candidates: candidates, Excluded: c.tried, Zone: s.instance.Zone,
