--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -37,6 +37,7 @@
 	status int
 	// closed means that the connection ended without an answer, and kept that it had served a request before.
 	closed, kept bool
+	took         time.Duration
 	err          error
 }
 
--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -40,8 +40,8 @@
 	begun             map[string]bool // IDs of the requests that have begun
 	conns             map[net.Conn]bool
 	closed            bool
-	// repeating makes the endpoint send some answers to releases once more where the answer to the next release on the connection is
-	// expected. It counts its answers and those that it has repeated.
+	// repeating makes the endpoint send some answers to releases once more if the next request on the connection is a release, too, where
+	// its answer is expected. It counts its answers and those that it has repeated.
 	repeating         bool
 	answers, repeated int
 }
@@ -83,6 +83,14 @@
 	body   string
 }
 
+// echo adds the ID of the request.
+func (a *answer) echo(id string) {
+	if a.header == nil {
+		a.header = map[string]string{}
+	}
+	a.header["Request-Id"] = id
+}
+
 func (a answer) encode() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
@@ -175,10 +183,13 @@
 		if release && lastRelease != "" && e.repeatsNow() {
 			e.record.line("endpoint %s repeats its answer to an earlier release on the connection", e.id)
 			_, _ = io.WriteString(c, lastRelease) // a caller that has left is noticed at the next read
-			lastRelease = ""
 		}
 		a := e.handle(r)
+		if id := r.Header.Get("Request-Id"); id != "" {
+			a.echo(id)
+		}
 		raw := a.encode()
+		lastRelease = ""
 		if release && a.status == http.StatusOK {
 			lastRelease = raw
 		}
@@ -188,11 +199,14 @@
 	}
 }
 
-// setRepeating makes the endpoint repeat some answers to releases from now on.
-func (e *endpoint) setRepeating() {
+// setRepeating begins or ends a time in which the endpoint repeats some answers to releases.
+func (e *endpoint) setRepeating(repeating bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.repeating, e.answers, e.repeated = true, 0, 0
+	if repeating {
+		e.answers, e.repeated = 0, 0
+	}
+	e.repeating = repeating
 }
 
 // repeatsNow reports whether the endpoint repeats an answer, and counts it.
