--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -199,6 +199,8 @@
 	Service entity.ServiceName
 	Address string // host:port
 	Zone    entity.Zone
+	// Version is the version of the backend's software.
+	Version string
 	// Incarnation distinguishes the successive processes under one id. A larger value is a newer process.
 	Incarnation int64
 	// Slots is the number of requests that the backend processes concurrently.
--- a/internal/service/store_instance.go
+++ b/internal/service/store_instance.go
@@ -50,6 +50,12 @@
 	ShutdownGrace time.Duration
 	// ConfigApply is the time within which a configuration must be effective.
 	ConfigApply time.Duration
+	// ExposureShare is the largest fraction of a service's requests that a bad version may get in a rollout, 0 if the platform knows
+	// no rollouts. ExposureSlack is the number of requests that it may get beside this share, over all instances.
+	ExposureShare float64
+	ExposureSlack float64
+	// RollbackTime is how long after its 50th bad answer a version may still get requests.
+	RollbackTime time.Duration
 	// DrainTime is how long a leaving backend may still get new requests.
 	DrainTime time.Duration
 }
