End an exchange whose answer has no HTTP status

Cause: net/http reads a status such as 000, 099 or +99 as a number, and the clients took those below 200 for interim answers and passed 600 and 999 on to the caller. The request waited for its deadline, and the next answer on the connection was delivered. Change: one rule for valid statuses, 100 to 599 (internal/httpstatus), used by the readers of answers of backends, of commands and of the platform's log. Any other status ends the exchange at once as an answer that is not one, and the connection is closed.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
 	"github.com/pollenpier/pollenpier/internal/httpheader"
+	"github.com/pollenpier/pollenpier/internal/httpstatus"
 )
 
 // headerPrefix is the prefix of the protocol's own headers, which are not forwarded to callers.
@@ -52,6 +53,9 @@
 	if echoedID != "" && echoedID != call.RequestID {
 		return &Failure{Kind: FailureMismatch, Cause: errors.Errorf("it answers request %q", echoedID)}
 	}
+	if !httpstatus.IsValid(resp.StatusCode) {
+		return &Failure{Kind: FailureBroken, Cause: invalidStatus(resp)}
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return &Failure{Kind: FailureBroken, Cause: errSwitchedProtocols}
 	}
@@ -69,6 +73,11 @@
 	}
 }
 
+// invalidStatus returns the error for an answer that has no HTTP status.
+func invalidStatus(resp *http.Response) error {
+	return errors.Errorf("status %d is no HTTP status", resp.StatusCode)
+}
+
 func answerHeader(h http.Header) http.Header {
 	h = h.Clone()
 	httpheader.DropHopByHop(h)
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -180,8 +180,8 @@
 	if failure == nil {
 		return answer, nil
 	}
-	if failure.Kind == FailureMismatch || failure.Kind == FailureFenced {
-		// Later answers on this connection may also be mismatched. A fenced request is sent again with the same id, which the
+	if failure.Kind == FailureMismatch || failure.Kind == FailureFenced || failure.Kind == FailureBroken {
+		// Later answers on this connection may also be mismatched or broken. A fenced request is sent again with the same id, which the
 		// refusal would match if the backend repeated it on this connection.
 		t.requests.CloseIdleConnections()
 	}
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/httpstatus"
 )
 
 // maxControlBytes is the maximum size in bytes of the answer to a control request.
@@ -127,6 +128,10 @@
 			return errors.Wrapf(ErrUnreachable, "control answer with the request id %q", echoedID[:min(len(echoedID), maxErrorText)])
 		}
 	}
+	if !httpstatus.IsValid(resp.StatusCode) {
+		transport.CloseIdleConnections()
+		return errors.Join(ErrUnreachable, invalidStatus(resp))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return controlError(resp.StatusCode, data)
 	}
--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/httpstatus"
 )
 
 // Limits of an answer. The chunks' headers and the trailer of a chunked body are limited by net/http: each line by the size of
@@ -110,6 +112,9 @@
 		return nil, c.readError(err)
 	}
 	c.source.left = math.MaxInt64 // the readers of the body limit it
+	if !httpstatus.IsValid(answer.StatusCode) {
+		return nil, errors.Join(ErrUnknown, ErrMalformed, errors.Errorf("status %d", answer.StatusCode))
+	}
 	if answer.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errors.Join(ErrUnknown, ErrMalformed, errors.New("switched protocols"))
 	}
--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/httpstatus"
 	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/platformapi/wire"
 )
@@ -251,5 +252,8 @@
 	if err != nil {
 		return 0, nil, errors.Join(ErrUnavailable, err)
 	}
+	if !httpstatus.IsValid(resp.StatusCode) {
+		return 0, nil, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
+	}
 	return resp.StatusCode, data, nil
 }
