Read rollout orders and choose backends by version

Cause: nothing read the operator's rollout orders, and the router knew no versions of backends.

The router asks the rollout for candidates and for owners of keys, counts each attempt from before it is sent to its end, and chooses again if the phase changed in between. A new version that is only being compared causes no refusal: the old one is tried next. Without exposeShare the router has no rollout service and takes the former path. Backends may be held back; the directory sets no such time yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -210,12 +210,15 @@
 	// LastActiveAt is a time, on the clock of this instance, at which the backend had not yet reported that it is
 	// leaving.
 	LastActiveAt time.Duration
+	// HeldBackUntil is the time, on the clock of this instance, until which the backend gets requests only if no other backend of its
+	// service can: it runs a version that this instance has just seen for the first time. It is zero if the backend is not held back.
+	HeldBackUntil time.Duration
 	// WarmUntil is the time, on the clock of this instance, until which the backend is cold. It is zero or in the past if
 	// the backend is warm.
 	WarmUntil time.Duration
 }
 
-// SameProcess reports whether two backend records describe the same process at the same address.
+// SameProcess reports whether two backend records describe the same process at the same address. A process does not change its version.
 func (b *Backend) SameProcess(o *Backend) bool {
-	return o != nil && b.ID == o.ID && b.Incarnation == o.Incarnation && b.Address == o.Address && b.Service == o.Service
+	return o != nil && b.ID == o.ID && b.Incarnation == o.Incarnation && b.Address == o.Address && b.Service == o.Service && b.Version == o.Version
 }
--- a/internal/service/router/attempt.go
+++ b/internal/service/router/attempt.go
@@ -32,14 +32,20 @@
 	for {
 		candidates, outcome := s.candidates(ctx, c)
 		if candidates == nil {
-			return s.earlierReply(best, service.Reply{Outcome: outcome, RetryAfter: ownerRetry})
+			return s.earlierReply(best, service.Reply{Outcome: outcome, RetryAfter: retryOf(outcome)})
 		}
 		choice, attempt := s.choose(ctx, c, candidates)
 		if choice.Backend == nil {
 			return s.earlierReply(best, s.refusal(c, choice))
 		}
-		if outcome, ok := s.takeRetryCost(c); !ok {
+		if !s.begin(c, choice.Backend) {
 			s.loads.FinishAttempt(attempt, &service.DeliveryResult{Outcome: entity.NotRun(entity.ReasonCanceled, "")}, s.kernel.Now())
+			continue
+		}
+		if outcome, ok := s.takeRetryCost(c); !ok {
+			unsent := service.DeliveryResult{Outcome: entity.NotRun(entity.ReasonCanceled, "")}
+			s.loads.FinishAttempt(attempt, &unsent, s.kernel.Now())
+			s.end(c, choice.Backend, attempt.Cold, &unsent, 0)
 			return s.earlierReply(best, service.Reply{Outcome: outcome, RetryAfter: choice.ExpectedLatency})
 		}
 		result := s.send(ctx, c, choice.Backend, attempt)
@@ -79,6 +85,14 @@
 	}
 }
 
+// retryOf returns the time after which a caller may retry if its request has no candidates.
+func retryOf(outcome entity.Outcome) time.Duration {
+	if outcome.Reason == entity.ReasonShed {
+		return exposureRetry
+	}
+	return ownerRetry
+}
+
 // takeRetryCost takes the cost of another attempt if an earlier one reached a backend: a token of the service's retry budget, and
 // a token of the customer's rate if the earlier attempt may have run, since the customer is then served twice. It returns false
 // and the outcome if one of them is not available.
@@ -135,7 +149,9 @@
 		s.meters.sentCold.Inc(1)
 	}
 	result := s.endpoints.Deliver(ctx, delivery)
-	s.loads.FinishAttempt(attempt, &result, s.kernel.Now())
+	now := s.kernel.Now()
+	s.loads.FinishAttempt(attempt, &result, now)
+	s.end(c, b, attempt.Cold, &result, now-attempt.Sent)
 	if result.ConnectionRefused {
 		telemetry.EventBackendRefusedConnection.Log(s.log, zap.String("backend", string(b.ID)), zap.Int64("born", b.Incarnation),
 			zap.String("service", string(c.service.Name)), zap.Duration("warmup", c.service.Warmup))
--- a/internal/service/router/choose.go
+++ b/internal/service/router/choose.go
@@ -26,13 +26,7 @@
 	if c.service.Partitioned {
 		return s.owner(ctx, c)
 	}
-	list := c.view.Services[c.service.Name]
-	usable := make([]*catalog.Backend, 0, len(list))
-	for _, b := range list {
-		if !b.Draining && !c.view.Evacuated[b.Zone] {
-			usable = append(usable, b)
-		}
-	}
+	usable := s.usable(c)
 	if len(usable) == 0 {
 		return nil, entity.NotRun(entity.ReasonNoOwner, "no backend accepts new requests")
 	}
@@ -77,6 +71,8 @@
 			return nil, entity.NotRun(entity.ReasonNoOwner, "the owner of the key is no longer listed")
 		case granted && !s.mayUse(c, b, now):
 			return nil, entity.NotRun(entity.ReasonNoOwner, "the owner of the key is leaving")
+		case granted && !s.mayUseVersion(c, b):
+			return nil, entity.NotRun(entity.ReasonShed, "the owner of the key runs a version that may get no more requests now")
 		case granted:
 			return []*catalog.Backend{b}, entity.Outcome{}
 		case now >= waitUntil:
@@ -142,8 +138,26 @@
 	maxWarmupPauses  = 6
 )
 
-// choose selects a backend and counts the request there. It waits for warm-up checks if there is no backend otherwise.
+// choose selects one of the candidates to which a rollout of the service, if there is one, lets the request go.
 func (s *Service) choose(ctx context.Context, c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
+	if s.rollout == nil || c.service.Partitioned {
+		return s.chooseOf(ctx, c, candidates)
+	}
+	wanted, others := s.rolloutCandidates(c, candidates)
+	if len(wanted) == 0 {
+		return s.chooseOf(ctx, c, candidates)
+	}
+	if len(others) > 0 {
+		if choice, attempt := s.chooseNow(c, wanted); choice.Backend != nil {
+			return choice, attempt
+		}
+		wanted = others
+	}
+	return s.chooseOf(ctx, c, wanted)
+}
+
+// chooseOf selects a backend and counts the request there. It waits for warm-up checks if there is no backend otherwise.
+func (s *Service) chooseOf(ctx context.Context, c *request, candidates []*catalog.Backend) (service.Choice, service.Attempt) {
 	for pauses := 0; ; pauses++ {
 		choice, attempt := s.chooseNow(c, candidates)
 		if !choice.AwaitsCheck || pauses == maxWarmupPauses || !pause(ctx, warmupCheckPause) {
--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -120,7 +120,7 @@
 	return newTestRouterOf(t, instance, customer, log)
 }
 
-func newTestRouterOf(t testing.TB, instance service.InstanceConfig, customer *catalog.Customer, log *zap.Logger) *testRouter {
+func newTestRouterOf(t testing.TB, instance service.InstanceConfig, customer *catalog.Customer, log *zap.Logger, more ...kernel.Service) *testRouter {
 	t.Helper()
 	routes := []*catalog.Route{
 		{Name: "lookups", Host: host, PathPrefix: "/lookups/", Targets: []catalog.Target{{Service: lookups, Weight: 1}}, Idempotent: true, Timeout: 2 * time.Second, MaxAttempts: attempts},
@@ -144,9 +144,9 @@
 	b.keys = &fakeKeys{stub: stub{service.Keys}, view: &service.KeyView{Version: 1, Changed: make(chan struct{}), State: ownedBy("orders1")}}
 	b.endpoints = &fakeEndpoints{stub: stub{service.Endpoints}}
 	b.router = router.New(instance, log, metrics.NewRegistry())
-	k, err := kernel.New(b.clock, []kernel.Service{
+	k, err := kernel.New(b.clock, append(more,
 		b.directory, b.keys, fakeMembers{stub{service.Members}}, loads.New(instance, metrics.NewRegistry()), b.endpoints, b.router,
-	})
+	))
 	require.NoError(t, err)
 	require.NoError(t, k.Start(context.Background()))
 	t.Cleanup(func() { require.NoError(t, k.Stop(context.Background())) })
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -34,7 +34,8 @@
 	loads     service.LoadTracker
 	endpoints service.Deliverer
 	checker   service.WarmupChecker
-	checks    sync.WaitGroup // warm-up checks in flight
+	rollout   service.RolloutTracker // nil if the platform knows no rollouts
+	checks    sync.WaitGroup         // warm-up checks in flight
 	meters    meters
 }
 
@@ -67,7 +68,11 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []kernel.Name {
-	return []kernel.Name{service.Directory, service.Keys, service.Members, service.Loads, service.Endpoints}
+	needs := []kernel.Name{service.Directory, service.Keys, service.Members, service.Loads, service.Endpoints}
+	if s.instance.ExposureShare > 0 {
+		needs = append(needs, service.Rollout)
+	}
+	return needs
 }
 
 // Provision implements kernel.Service.
@@ -89,7 +94,12 @@
 	if s.endpoints, err = kernel.Lookup[service.Deliverer](r, service.Endpoints); err != nil {
 		return err
 	}
-	s.checker, err = kernel.Lookup[service.WarmupChecker](r, service.Endpoints)
+	if s.checker, err = kernel.Lookup[service.WarmupChecker](r, service.Endpoints); err != nil {
+		return err
+	}
+	if s.instance.ExposureShare > 0 {
+		s.rollout, err = kernel.Lookup[service.RolloutTracker](r, service.Rollout)
+	}
 	return err
 }
 
@@ -161,6 +171,7 @@
 	// fingerprint identifies the request when it is sent again.
 	fingerprint uint64
 	version     service.Version
+	phase       service.RolloutPhase // of the service's rollout when the candidates were chosen
 }
 
 // serve runs the steps of a call.
