--- a/internal/service/rollout.go
+++ b/internal/service/rollout.go
@@ -27,6 +27,14 @@
 	At     time.Duration // when the read was sent
 }
 
+// RolloutKeysMoved is sent by keys to rollout while a rollout of a service that is partitioned by key is in the phase
+// RolloutSwitching. Done is true if no range of the service has an owner of an old version and all ranges are granted.
+type RolloutKeysMoved struct {
+	Service entity.ServiceName
+	To      string
+	Done    bool
+}
+
 // RolloutPhase is the progress of a rollout. Phases only advance.
 type RolloutPhase uint8
 
@@ -51,6 +59,8 @@
 	Share float64
 	// Canaries are the backends of the new version that get this share. They are chosen from the directory's backends.
 	Canaries map[entity.BackendID]bool
+	// Rejected are versions of earlier rollouts that were rolled back. Their backends get no requests. It may be nil.
+	Rejected map[string]bool
 }
 
 // IsNew reports whether a backend runs the version to which the rollout moves the traffic.
@@ -92,6 +102,11 @@
 	Version Version
 	// Age is the time since the order was first seen by any instance.
 	Age time.Duration
+	// Duration is that of the order.
+	Duration time.Duration
+	// Confirmed is the time since the coordinator or the store confirmed the state, to the sender or to the instances from which the
+	// sender knows it.
+	Confirmed time.Duration
 	// Reason explains the phase.
 	Reason string
 	// OldInFlight is the number of the sender's requests in progress at backends of the old version.
@@ -101,7 +116,11 @@
 // RolloutCounts are the answers that an instance has got from one version on one route since the order was seen.
 type RolloutCounts struct {
 	Service entity.ServiceName
-	Route   string
+	// To is the version of the rollout to which the counts belong.
+	To    string
+	Route string
+	// Zone is that of the backends. Comparing within a zone keeps a slow zone from being taken for a slow version.
+	Zone    entity.Zone
 	New     bool
 	Answers uint64
 	Failed  uint64
@@ -113,7 +132,9 @@
 // concurrent use and never block.
 type RolloutExchange interface {
 	RolloutReport(now time.Duration) *RolloutReport
-	// ApplyRolloutReport applies the report of a peer. Leaving peers do not decide on rollouts.
+	// ApplyRolloutReport applies the report of a peer. It is called for each heartbeat, with nil if the heartbeat contains no report:
+	// the first reachable instance in rendezvous order decides, whether or not it has seen the order. Leaving peers do not decide on
+	// rollouts.
 	ApplyRolloutReport(peer entity.InstanceID, leaving bool, r *RolloutReport, now time.Duration)
 	ForgetRolloutPeer(peer entity.InstanceID)
 }
