Exchange rollout reports and hold back unknown versions

Cause: peers could not tell each other the progress of a rollout, and an instance that sees a new version before the order for it would send it requests that no rollout counts.

Malformed reports are counted, logged and count as none. The directory holds back the backends of a version that it sees for the first time for the time in which a configuration applies, only where the settings contain exposeShare; the router uses them if no other backend is usable. A running process does not change its version: a record that says so contradicts it. The service rollout is part of an instance only with exposeShare.

--- a/internal/app/store_instance.go
+++ b/internal/app/store_instance.go
@@ -14,6 +14,7 @@
 	"github.com/pollenpier/pollenpier/internal/service/keys"
 	"github.com/pollenpier/pollenpier/internal/service/loads"
 	"github.com/pollenpier/pollenpier/internal/service/members"
+	"github.com/pollenpier/pollenpier/internal/service/rollout"
 	"github.com/pollenpier/pollenpier/internal/service/router"
 )
 
@@ -28,6 +29,10 @@
 // endpoints and frontend. It starts nothing. It returns an error if a service cannot be built.
 func NewStoreInstance(instance service.InstanceConfig, log *zap.Logger, adapter fx.Option) (*StoreInstance, error) {
 	i := &StoreInstance{}
+	rollouts := fx.Options() // without them no service looks for the one named rollout
+	if instance.ExposureShare > 0 {
+		rollouts = fx.Provide(fx.Annotate(rollout.New, asService...))
+	}
 	i.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(instance, log),
@@ -41,6 +46,7 @@
 			fx.Annotate(loads.New, asService...),
 			fx.Annotate(router.New, asService...),
 		),
+		rollouts,
 		adapter,
 		fx.Invoke(runKernel),
 	)
--- a/internal/service/directory.go
+++ b/internal/service/directory.go
@@ -84,5 +84,5 @@
 	At          time.Duration
 }
 
-// DirectoryChanged is sent by the directory to keys and loads after it has published a view.
+// DirectoryChanged is sent by the directory to keys, loads and rollout after it has published a view.
 type DirectoryChanged struct{ View *DirectoryView }
--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -39,6 +39,7 @@
 	evacuatedSince   map[entity.Zone]time.Duration // when each zone was evacuated
 	reenabled        map[entity.Zone]reenabledZone
 	reportedCold     map[entity.BackendID]time.Duration // end of the warm-up according to the last entry
+	versionsSeen     versions
 	storeUnavailable bool
 	graceUntil       time.Duration
 	unavailableAt    time.Duration // when the last outage of the store was noticed
@@ -51,7 +52,8 @@
 	versions, listed, removals metrics.Gauge
 }
 
-// New returns the service. It sends DirectoryChanged to keys and loads after each publication.
+// New returns the service. It sends DirectoryChanged after each publication to keys and loads, and to rollout if the platform knows
+// rollouts.
 func New(instance service.InstanceConfig, log *zap.Logger, registry metrics.Registry) *Service {
 	s := &Service{
 		instance:       instance,
@@ -71,6 +73,9 @@
 		listed:         metrics.GetOrRegisterGauge("directory.backends", registry),
 		removals:       metrics.GetOrRegisterGauge("directory.lapsed", registry),
 	}
+	if instance.ExposureShare > 0 {
+		s.subscribers = append(s.subscribers, service.Rollout)
+	}
 	s.view.Publish(&service.DirectoryView{})
 	return s
 }
@@ -185,6 +190,9 @@
 	if next.Draining {
 		s.leaving.record(processHash(&next), r.lastActiveAt, now)
 	}
+	if old != nil && old.Version == next.Version {
+		next.HeldBackUntil = old.HeldBackUntil
+	}
 	next.LastActiveAt, next.Draining = s.leaving.since(processHash(&next))
 	if old != nil && old.SameProcess(&next) && old.Draining == next.Draining && old.LastActiveAt == next.LastActiveAt &&
 		old.Slots == next.Slots && sameWarmup(old.WarmUntil, next.WarmUntil, now) {
@@ -193,7 +201,7 @@
 	s.backends[e.ID] = &next
 	if old == nil || !old.SameProcess(&next) || old.Draining != next.Draining {
 		telemetry.EventBackendListed.Log(s.log, zap.String("backend", string(e.ID)), zap.String("service", string(next.Service)),
-			zap.String("zone", string(next.Zone)), zap.String("address", next.Address), zap.Int64("born", next.Incarnation),
+			zap.String("version", next.Version), zap.String("zone", string(next.Zone)), zap.String("address", next.Address), zap.Int64("born", next.Incarnation),
 			zap.Bool("draining", next.Draining), zap.Duration("cold_for", e.RemainingWarmup))
 	}
 	return true
@@ -219,6 +227,7 @@
 
 func (s *Service) publish(t *kernel.Turn) {
 	s.generation++
+	s.holdBackVersions(t.Now())
 	v := &service.DirectoryView{
 		Config:     s.config,
 		Services:   map[entity.ServiceName][]*catalog.Backend{},
--- a/internal/service/directory/directory_test.go
+++ b/internal/service/directory/directory_test.go
@@ -54,11 +54,16 @@
 }
 
 func newUnconfiguredHarness(t *testing.T) *harness {
+	t.Helper()
+	return newHarnessOf(t, service.InstanceConfig{Heartbeat: time.Second, DrainTime: drainTime})
+}
+
+func newHarnessOf(t *testing.T, instance service.InstanceConfig) *harness {
 	t.Helper()
 	h := &harness{t: t, clock: kernel.NewManualClock()}
-	h.directory = directory.New(service.InstanceConfig{Heartbeat: time.Second, DrainTime: drainTime}, zap.NewNop(), metrics.NewRegistry())
+	h.directory = directory.New(instance, zap.NewNop(), metrics.NewRegistry())
 	var err error
-	h.kernel, err = kernel.New(h.clock, []kernel.Service{h.directory, sink{service.Keys}, sink{service.Loads}})
+	h.kernel, err = kernel.New(h.clock, []kernel.Service{h.directory, sink{service.Keys}, sink{service.Loads}, sink{service.Rollout}})
 	require.NoError(t, err)
 	require.NoError(t, h.kernel.Start(context.Background()))
 	t.Cleanup(func() { require.NoError(t, h.kernel.Stop(context.Background())) })
--- a/internal/service/members/encode.go
+++ b/internal/service/members/encode.go
@@ -31,9 +31,20 @@
 		m.Admitted = append(m.Admitted, n)
 		m.Refused = append(m.Refused, r.Refused[id])
 	}
+	s.addRollouts(m)
 	return m
 }
 
+// addRollouts adds the report on rollouts to a heartbeat.
+func (s *Service) addRollouts(m *fleetpb.Heartbeat) {
+	if s.rollout == nil {
+		return
+	}
+	if r := s.rollout.RolloutReport(s.kernel.Now()); r != nil {
+		s.droppedRollouts.Inc(int64(fleetpb.SetRollout(m, r)))
+	}
+}
+
 // millicores is the number of millicores in a core.
 const millicores = 1000
 
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -97,6 +97,7 @@
 	store     service.DocumentStore
 	traffic   service.TrafficExchange
 	storeSync service.StoreSync
+	rollout   service.RolloutExchange // nil if the platform knows no rollouts
 	view      kernel.Snapshot[service.MembersView]
 	socket    *net.UDPConn
 	readers   sync.WaitGroup
@@ -119,8 +120,8 @@
 	// no earlier counts to compare with.
 	fullUntil time.Duration
 
-	sent, received, bad metrics.Counter
-	reachable           metrics.Gauge
+	sent, received, bad, badRollouts, droppedRollouts metrics.Counter
+	reachable                                         metrics.Gauge
 }
 
 type peer struct {
@@ -162,6 +163,10 @@
 		sent:      metrics.GetOrRegisterCounter("members.heartbeats_sent", r),
 		received:  metrics.GetOrRegisterCounter("members.heartbeats_received", r),
 		bad:       metrics.GetOrRegisterCounter("members.heartbeats_bad", r),
+
+		badRollouts:     metrics.GetOrRegisterCounter("members.rollout_reports_bad", r),
+		droppedRollouts: metrics.GetOrRegisterCounter("members.rollout_counts_dropped", r),
+
 		reachable: metrics.GetOrRegisterGauge("members.heard", r),
 	}
 	s.view.Publish(&service.MembersView{ReachableShare: 1 / float64(assumedInstances), ReachableCount: assumedInstances, Staleness: s.staleness(),
@@ -174,7 +179,11 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []kernel.Name {
-	return []kernel.Name{service.Store, service.Feed, service.Loads, service.Keys}
+	needs := []kernel.Name{service.Store, service.Feed, service.Loads, service.Keys}
+	if s.instance.ExposureShare > 0 {
+		needs = append(needs, service.Rollout)
+	}
+	return needs
 }
 
 // Provision implements kernel.Service.
@@ -187,7 +196,12 @@
 	if s.storeSync, err = kernel.Lookup[service.StoreSync](r, service.Feed); err != nil {
 		return err
 	}
-	s.traffic, err = kernel.Lookup[service.TrafficExchange](r, service.Loads)
+	if s.traffic, err = kernel.Lookup[service.TrafficExchange](r, service.Loads); err != nil {
+		return err
+	}
+	if s.instance.ExposureShare > 0 {
+		s.rollout, err = kernel.Lookup[service.RolloutExchange](r, service.Rollout)
+	}
 	return err
 }
 
--- a/internal/service/members/receive.go
+++ b/internal/service/members/receive.go
@@ -47,6 +47,9 @@
 		delete(s.byAddress, p.address.String())
 	}
 	s.traffic.ForgetPeer(id)
+	if s.rollout != nil {
+		s.rollout.ForgetRolloutPeer(id)
+	}
 	telemetry.EventMemberRemoved.Log(s.log, zap.String("peer", string(id)))
 }
 
@@ -81,6 +84,7 @@
 	s.receiveStoreUpdate(p, m.message, t.Now())
 	s.traffic.ApplyPeerReport(service.PeerTraffic{Instance: p.id, TrafficReport: trafficOf(m.message)}, t.Now())
 	s.reportLeaving(t, m.message.LeavingBackends)
+	s.receiveRollouts(p, m.message, t.Now())
 	t.Send(service.Keys, service.PeerHeartbeat{
 		Instance: p.id, Zone: p.zone, TableVersion: service.Version(m.message.TableVersion), Coordinator: m.message.Coordinator,
 		StoreReachable: m.message.StoreReachable, Leaving: m.message.Leaving, GrantedFences: m.message.HeldFences,
@@ -98,6 +102,19 @@
 	}
 }
 
+// receiveRollouts applies the report on rollouts in a heartbeat. A report that cannot be decoded counts as none.
+func (s *Service) receiveRollouts(p *peer, m *fleetpb.Heartbeat, now time.Duration) {
+	if s.rollout == nil {
+		return
+	}
+	report, err := fleetpb.Rollout(m)
+	if err != nil {
+		s.badRollouts.Inc(1)
+		telemetry.EventBadHeartbeat.Log(s.log, zap.String("from", m.From.Address), zap.Error(err))
+	}
+	s.rollout.ApplyRolloutReport(p.id, m.Leaving, report, now)
+}
+
 // tableChange returns the table delta in a heartbeat, or nil if there is none or it cannot be decoded.
 func (s *Service) tableChange(m *fleetpb.Heartbeat) *service.TableChange {
 	if m.Delta == nil {
--- a/internal/service/router/rollout.go
+++ b/internal/service/router/rollout.go
@@ -32,12 +32,12 @@
 // other.
 func (s *Service) usable(c *request) []*catalog.Backend {
 	list := c.view.Services[c.service.Name]
-	now := s.kernel.Now()
+	state, now := s.rolloutState(c), s.kernel.Now()
 	usable, heldBack := make([]*catalog.Backend, 0, len(list)), 0
 	for _, b := range list {
 		if !b.Draining && !c.view.Evacuated[b.Zone] {
 			usable = append(usable, b)
-			if b.HeldBackUntil > now {
+			if isHeldBack(state, b, now) {
 				heldBack++
 			}
 		}
@@ -47,13 +47,18 @@
 	}
 	others := usable[:0]
 	for _, b := range usable {
-		if b.HeldBackUntil <= now {
+		if !isHeldBack(state, b, now) {
 			others = append(others, b)
 		}
 	}
 	return others
 }
 
+// isHeldBack reports whether a backend is held back. The backends of a version to which a rollout leads are not: the rollout decides.
+func isHeldBack(state *service.RolloutState, b *catalog.Backend, now time.Duration) bool {
+	return b.HeldBackUntil > now && (state == nil || !state.IsNew(b))
+}
+
 // rolloutCandidates returns those of the usable backends to which the rollout of the service lets the request go, nil if there is no
 // rollout. The second result are the backends to try if none of the first can take it: a new version that is only being compared must
 // not cause a refusal.
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -61,6 +61,7 @@
 	EventSettingsRead         = define(2180, zapcore.InfoLevel, "settings read")
 	EventSettingsRejected     = define(2181, zapcore.WarnLevel, "changed settings cannot be read, the previous settings stay in effect")
 	EventRolloutOrderUnusable = define(2415, zapcore.WarnLevel, "rollout order in the store cannot be used and is ignored")
+	EventVersionHeldBack      = define(2416, zapcore.InfoLevel, "backends of a new version get no requests yet, since a rollout may have been ordered")
 
 	EventLinesDropped = define(2190, zapcore.WarnLevel, "log lines dropped")
 )
