Move key ranges with the phases of a rollout

Cause: the coordinator of the key ranges assigned keys to backends of any version, so that a rollout could neither limit a new version's part of the requests for keys nor move all keys.

Change: keyrange.Restrict says which candidates may own keys in a stage of a rollout, and PlanRollout gives canaries ranges up to their share of the load of the last 6 s and takes ranges back when they exceed it by a quarter. All keys move after the verdict. If only backends of the wrong version are usable they serve. The keys service marks candidates by version, held-back ones keep what they own and get nothing more, and every instance reports to its rollout service whether its table shows all keys granted to the new version. Evidence of grants is used as before, so a key has one owner.

--- a/internal/decide/keyrange/plan.go
+++ b/internal/decide/keyrange/plan.go
@@ -22,6 +22,13 @@
 	Keep bool
 	// Cold backends are assigned keys only if there is no warm one.
 	Cold bool
+	// Limited backends keep the ranges that they own and are assigned others only if there is no other usable backend.
+	Limited bool
+	// New backends run the version to which a rollout leads. Canaries are those of them that get a part of the load while the versions
+	// are compared, see Exposure.
+	New, Canary bool
+	// Rejected backends run a version that an earlier rollout has rejected.
+	Rejected bool
 }
 
 // KeyLoad counts the recent requests by key.
@@ -67,6 +74,7 @@
 	evidence   Evidence
 	candidates []Candidate
 	usable     []Candidate
+	canaries   []Candidate
 	assigned   map[Holder]int // requests in the window, plus one per range so that idle ranges are spread too
 	changed    bool
 }
@@ -74,6 +82,11 @@
 // Plan returns the table with every range on a usable backend and hot ranges spread, or nil if nothing is to change.
 // It increments *fence for each new assignment. Ranges that have not been granted yet keep their owner unless it is unusable.
 func Plan(table *Table, candidates []Candidate, keyLoad KeyLoad, evidence Evidence, fence *uint64) *Table {
+	return PlanRollout(table, candidates, keyLoad, evidence, Exposure{}, fence)
+}
+
+// PlanRollout is Plan for a service with a rollout, to which Restrict has been applied.
+func PlanRollout(table *Table, candidates []Candidate, keyLoad KeyLoad, evidence Evidence, exposure Exposure, fence *uint64) *Table {
 	p := newPlanner(table, candidates, evidence, fence)
 	if len(p.usable) == 0 {
 		return nil
@@ -87,6 +100,7 @@
 		p.assigned[p.table.Ranges[i].Owner] += loads[i] + 1
 	}
 	p.evict(loads)
+	p.expose(exposure)
 	p.spread(keyLoad)
 	if !p.changed {
 		return nil
@@ -102,9 +116,13 @@
 		candidates: candidates,
 		assigned:   map[Holder]int{},
 	}
-	for _, warmOnly := range []bool{true, false} {
+	for _, accepts := range []func(Candidate) bool{
+		func(c Candidate) bool { return !c.Cold && !c.Limited && !c.Canary },
+		func(c Candidate) bool { return !c.Limited && !c.Canary },
+		func(Candidate) bool { return true },
+	} {
 		for _, c := range candidates {
-			if c.Usable && (!c.Cold || !warmOnly) {
+			if c.Usable && accepts(c) {
 				p.usable = append(p.usable, c)
 			}
 		}
@@ -112,6 +130,11 @@
 			break
 		}
 	}
+	for _, c := range candidates {
+		if c.Usable && c.Canary && !c.Cold && !p.isUsable(c.Holder) {
+			p.canaries = append(p.canaries, c)
+		}
+	}
 	slices.SortFunc(p.usable, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return p
 }
--- a/internal/decide/keyrange/sim_test.go
+++ b/internal/decide/keyrange/sim_test.go
@@ -166,6 +166,8 @@
 	faultless       bool // commands are delivered and answered without faults
 	// latencies lets commands, answers and writes take time. Otherwise they take effect immediately.
 	latencies bool
+	// stage is that of the rollout, if there is one. Backends whose id has an odd number run the new version.
+	stage keyrange.Stage
 }
 
 // outage is an outage of the store. The coordinator notices its beginning and its end after a delay.
@@ -256,8 +258,12 @@
 	for _, p := range s.processes {
 		c := keyrange.Candidate{Holder: p.holder, Capacity: 2, Usable: !p.isolated && !p.draining}
 		c.Keep = p.isolated && !p.draining && !s.executor.Expired(p.holder, s.now)
+		if s.stage != keyrange.StageNone {
+			c.New, c.Canary = isNew(p.holder), p.holder.ID == "e1" || p.holder.ID == "e3"
+		}
 		list = append(list, c)
 	}
+	keyrange.Restrict(list, s.stage)
 	return list
 }
 
@@ -462,7 +468,7 @@
 		next.Tables = append(next.Tables, keyrange.Table{Service: simService})
 		table = &next.Tables[0]
 	}
-	planned := keyrange.Plan(table, s.candidates(), s.keyLoad, s.evidence(), &s.fence)
+	planned := keyrange.PlanRollout(table, s.candidates(), s.keyLoad, s.evidence(), keyrange.Exposure{Share: simShare, Load: s.keyLoad}, &s.fence)
 	if planned == nil {
 		return
 	}
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -134,7 +134,11 @@
 
 		PreviousFree: func(r *keyrange.Range) bool { return s.coordinator.executor.PreviousFree(name, r) },
 	}
-	planned := keyrange.Plan(&marked.Tables[0], s.candidates(name, table, now), s.keyLoad.counts(), evidence, &next.LastFence)
+	rollout := s.rolloutOf(name)
+	candidates := s.candidates(name, table, now)
+	keyrange.Restrict(candidates, stageOf(rollout))
+	planned := keyrange.PlanRollout(&marked.Tables[0], candidates, s.keyLoad.counts(now, keyrange.KeyLoadWindow), evidence,
+		s.exposureOf(rollout, now), &next.LastFence)
 	if planned == nil {
 		return false
 	}
@@ -147,12 +151,13 @@
 func (s *Service) candidates(name entity.ServiceName, table *keyrange.Table, now time.Duration) []keyrange.Candidate {
 	var list []keyrange.Candidate
 	listed := map[keyrange.Holder]bool{}
-	speeds := s.speeds(name)
+	speeds, rollout := s.speeds(name), s.rolloutOf(name)
 	for i, b := range s.directory.Services[name] {
 		h := holderOf(b)
 		listed[h] = true
 		k := s.coordinator.contact(h)
 		c := keyrange.Candidate{Holder: h, Zone: b.Zone, Capacity: float64(max(b.Slots, 1)) * speeds[i], Cold: b.WarmUntil > now}
+		markVersion(&c, b, rollout, now)
 		switch {
 		case s.isUnconfirmed(b):
 			c.Usable = false
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -214,16 +214,22 @@
 	t *testing.T, id entity.InstanceID, store *memoryStore, targets *backends, clock kernel.Clock,
 ) *harness {
 	t.Helper()
-	instance := service.InstanceConfig{ID: id, Zone: "a", MaxGrantTTL: 10 * time.Second}
+	return newHarnessOf(t, service.InstanceConfig{ID: id, Zone: "a", MaxGrantTTL: 10 * time.Second}, store, targets, clock)
+}
+
+func newHarnessOf(
+	t *testing.T, instance service.InstanceConfig, store *memoryStore, targets *backends, clock kernel.Clock, more ...kernel.Service,
+) *harness {
+	t.Helper()
 	h := &harness{t: t, store: store, backends: targets, keys: keys.New(instance, zap.NewNop(), metrics.NewRegistry())}
 	var err error
-	h.kernel, err = kernel.New(clock, []kernel.Service{
+	h.kernel, err = kernel.New(clock, append(more,
 		h.keys,
 		storeStub{stub{name: service.Store}, store},
 		commandsStub{stub{name: service.Endpoints}, targets},
 		loadsStub{stub{name: service.Loads}, targets},
 		stub{name: service.Members},
-	})
+	))
 	require.NoError(t, err)
 	require.NoError(t, h.kernel.Start(context.Background()))
 	t.Cleanup(func() { require.NoError(t, h.kernel.Stop(context.Background())) })
--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -76,6 +76,7 @@
 	identities   service.IdentityChecker
 	serviceTimes service.BackendTimeSource
 	leaving      service.LeavingRecorder
+	rollout      service.RolloutTracker // nil if the platform knows no rollouts
 	kernel       *kernel.Kernel
 	view         kernel.Snapshot[service.KeyView]
 
@@ -182,7 +183,11 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []kernel.Name {
-	return []kernel.Name{service.Store, service.Endpoints, service.Loads}
+	needs := []kernel.Name{service.Store, service.Endpoints, service.Loads}
+	if s.instance.ExposureShare > 0 {
+		needs = append(needs, service.Rollout)
+	}
+	return needs
 }
 
 // Provision implements kernel.Service.
@@ -201,7 +206,12 @@
 	if s.serviceTimes, err = kernel.Lookup[service.BackendTimeSource](r, service.Loads); err != nil {
 		return err
 	}
-	s.leaving, err = kernel.Lookup[service.LeavingRecorder](r, service.Loads)
+	if s.leaving, err = kernel.Lookup[service.LeavingRecorder](r, service.Loads); err != nil {
+		return err
+	}
+	if s.instance.ExposureShare > 0 {
+		s.rollout, err = kernel.Lookup[service.RolloutTracker](r, service.Rollout)
+	}
 	return err
 }
 
@@ -279,6 +289,8 @@
 	if s.coordinator != nil {
 		s.coordinate(t)
 	}
+	s.reportMoved(t)
+	s.keyLoad.long = s.rollout != nil && len(s.rollout.RolloutView().Services) > 0
 	s.keyLoad.expire(now)
 }
 
