--- a/internal/decide/rollout/counts.go
+++ b/internal/decide/rollout/counts.go
@@ -113,3 +113,36 @@
 	}
 	return n
 }
+
+// slowAbove is how many buckets above the old version's median on the route an answer counts as slow in a summary.
+const slowAbove = 3
+
+// Summary is the number of answers of one version.
+type Summary struct{ Answers, Failed, Slow uint64 }
+
+func (s *Summary) add(c *Counts, median int) {
+	s.Answers += c.Answers
+	s.Failed += c.Failed
+	for _, n := range c.Latencies[min(median+slowAbove, Buckets):] {
+		s.Slow += uint64(n)
+	}
+}
+
+// Summaries returns the answers of both versions.
+func (t Totals) Summaries() (newer, older Summary) {
+	routes := map[string]*histogram{}
+	for s, p := range t {
+		if routes[s.Route] == nil {
+			routes[s.Route] = &histogram{}
+		}
+		routes[s.Route].add(histogramOf(&p.Old), 1, 1)
+	}
+	for s, p := range t {
+		median := routes[s.Route].median()
+		for g := range p.New {
+			newer.add(&p.New[g], median)
+		}
+		older.add(&p.Old, median)
+	}
+	return newer, older
+}
--- a/internal/decide/rollout/meter.go
+++ b/internal/decide/rollout/meter.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// maxCredit bounds the requests that a new version may get at once after a time without usable canaries.
-	maxCredit = 3
+	// maxCredit bounds the requests that a new version may get at once after a time without usable canaries. Where the key determines
+	// the backend, requests cannot wait for credit, and maxOwnerCredit lets through as many as chance brings together.
+	maxCredit      = 3
+	maxOwnerCredit = 1000
 	// reservationTime is how long a request that was given to the new version may take until it is sent. A request that found no free
 	// slot is not sent at all.
 	reservationTime = 200 * time.Millisecond
@@ -24,13 +26,16 @@
 // Meter limits the requests of one instance to the new version: sent to new <= share x sent + burst. The sum of the requests of all
 // instances then keeps to the same share without messages. It is not safe for concurrent use.
 type Meter struct {
-	credit, burst float64
-	reserved      int
-	reservedAt    time.Duration
+	credit, burst, limit float64
+	reserved             int
+	reservedAt           time.Duration
 }
 
-// NewMeter returns a meter with a burst.
-func NewMeter(burst float64) *Meter { return &Meter{burst: burst} }
+// NewMeter returns a meter with a burst for requests that any backend can serve.
+func NewMeter(burst float64) *Meter { return &Meter{burst: burst, limit: maxCredit} }
+
+// NewOwnerMeter returns a meter with a burst for requests whose key determines the backend.
+func NewOwnerMeter(burst float64) *Meter { return &Meter{credit: burst, limit: maxOwnerCredit} }
 
 // Reserve reports whether a request may be sent to the new version now, and reserves credit for it.
 func (m *Meter) Reserve(now time.Duration) bool {
@@ -49,7 +54,7 @@
 func (m *Meter) Sent(toNew bool, share float64) {
 	extra := min(m.burst, burstShare)
 	m.burst -= extra
-	m.credit = min(m.credit+share+extra, maxCredit)
+	m.credit = min(m.credit+share+extra, m.limit)
 	if !toNew {
 		return
 	}
--- a/internal/decide/rollout/schedule.go
+++ b/internal/decide/rollout/schedule.go
@@ -19,6 +19,22 @@
 	RolledBack
 )
 
+// String returns the name of the phase for logs.
+func (p Phase) String() string {
+	switch p {
+	case Running:
+		return "running"
+	case Switching:
+		return "switching"
+	case Completed:
+		return "completed"
+	case RolledBack:
+		return "rolled back"
+	default:
+		return "none"
+	}
+}
+
 // Ended reports whether the rollout has reached its last phase.
 func (p Phase) Ended() bool { return p == Completed || p == RolledBack }
 
--- a/internal/service/rollout.go
+++ b/internal/service/rollout.go
@@ -35,6 +35,9 @@
 	Done    bool
 }
 
+// RolloutChanged is sent by rollout to members when the state of a rollout has changed. It requests an immediate heartbeat.
+type RolloutChanged struct{}
+
 // RolloutPhase is the progress of a rollout. Phases only advance.
 type RolloutPhase uint8
 
@@ -120,8 +123,11 @@
 	To    string
 	Route string
 	// Zone is that of the backends. Comparing within a zone keeps a slow zone from being taken for a slow version.
-	Zone    entity.Zone
-	New     bool
+	Zone entity.Zone
+	New  bool
+	// Group divides the backends of the new version in two, numbered 0 and 1: a fault of one backend is then not taken for one of the
+	// version.
+	Group   int
 	Answers uint64
 	Failed  uint64
 	// Latencies counts answers by latency, in buckets that the rollout decision defines.
