--- a/internal/fleetpb/rollout.go
+++ b/internal/fleetpb/rollout.go
@@ -25,7 +25,7 @@
 	stateService, stateTo, statePhase, stateVersion, stateAge          = 1, 2, 3, 4, 5
 	stateDuration, stateConfirmed, stateReason, stateOldInFlight       = 6, 7, 8, 9
 	countsState, countsRoute, countsZone, countsNew, countsAnswers     = 1, 2, 3, 4, 5
-	countsFailed, countsLatencies                                      = 6, 7
+	countsFailed, countsLatencies, countsGroup                         = 6, 7, 8
 	maxRolloutStates, maxRolloutCounts, maxRolloutBuckets              = 64, 512, 64
 	maxRolloutName, maxRolloutReason, maxRolloutBytes, maxRolloutBatch = 256, 200, 4 << 10, 8 << 10
 )
@@ -106,6 +106,7 @@
 	raw = appendText(raw, countsRoute, c.Route, maxRolloutName)
 	raw = appendText(raw, countsZone, string(c.Zone), maxRolloutName)
 	raw = appendNumber(raw, countsNew, protowire.EncodeBool(c.New))
+	raw = appendNumber(raw, countsGroup, uint64(max(c.Group, 0)))
 	raw = appendNumber(raw, countsAnswers, c.Answers)
 	raw = appendNumber(raw, countsFailed, c.Failed)
 	if len(c.Latencies) == 0 {
--- a/internal/fleetpb/rollout_decode.go
+++ b/internal/fleetpb/rollout_decode.go
@@ -100,7 +100,7 @@
 
 func decodeRolloutCounts(raw []byte, states []service.RolloutReportState) (service.RolloutCounts, error) {
 	var c service.RolloutCounts
-	var state, isNew uint64
+	var state, isNew, group uint64
 	err := eachField(raw, func(f field) (err error) {
 		switch f.number {
 		case countsState:
@@ -113,6 +113,8 @@
 			c.Zone = entity.Zone(zone)
 		case countsNew:
 			isNew, err = f.integer(1)
+		case countsGroup:
+			group, err = f.integer(1)
 		case countsAnswers:
 			c.Answers, err = f.integer(math.MaxInt64)
 		case countsFailed:
@@ -125,7 +127,7 @@
 	if err != nil || state >= uint64(len(states)) || c.Failed > c.Answers {
 		return c, ErrBadRollout
 	}
-	c.Service, c.To, c.New = states[state].Service, states[state].To, isNew == 1
+	c.Service, c.To, c.New, c.Group = states[state].Service, states[state].To, isNew == 1, int(group)
 	return c, nil
 }
 
--- a/internal/fleetpb/rollout_test.go
+++ b/internal/fleetpb/rollout_test.go
@@ -21,7 +21,7 @@
 			{Service: "t", To: "v3", Phase: service.RolloutRunning},
 		},
 		Counts: []service.RolloutCounts{
-			{Service: "t", To: "v3", Route: "r", Zone: "a", New: true, Answers: 10, Failed: 4, Latencies: []uint32{0, 300, 1}},
+			{Service: "t", To: "v3", Route: "r", Zone: "a", New: true, Group: 1, Answers: 10, Failed: 4, Latencies: []uint32{0, 300, 1}},
 			{Service: "s", To: "v2", Route: "q", Zone: "b", Answers: 1 << 40},
 		},
 	}
