--- a/internal/service/rollout.go
+++ b/internal/service/rollout.go
@@ -112,7 +112,8 @@
 	Confirmed time.Duration
 	// Reason explains the phase.
 	Reason string
-	// OldInFlight is the number of the sender's requests in progress at backends of the old version.
+	// OldInFlight is the number of the sender's requests in progress at backends of the old version. One more is counted while its table
+	// of key ranges names owners of old versions.
 	OldInFlight int
 }
 
--- a/internal/service/rollout/exchange.go
+++ b/internal/service/rollout/exchange.go
@@ -238,6 +238,9 @@
 	state               service.RolloutReportState
 	seenAt, confirmedAt time.Duration
 	traffic             *traffic // nil if the rollout has ended
+	// keysAtOld means that the table of key ranges of this instance names owners of old versions, to which it may send requests at any
+	// time, whatever the coordinator's table says. It counts as a request in progress there.
+	keysAtOld bool
 }
 
 // RolloutReport implements service.RolloutExchange.
@@ -252,6 +255,9 @@
 		st := p.state
 		st.Age, st.Confirmed = now-p.seenAt, now-p.confirmedAt
 		st.OldInFlight = s.flights.old(st.Service, st.To)
+		if p.keysAtOld {
+			st.OldInFlight++
+		}
 		r.States = append(r.States, st)
 		if p.traffic != nil {
 			r.Counts = append(r.Counts, p.traffic.counts(st.Service, st.To)...)
