Rollout: sum of peers' counts kept up to date, bound on what peers report, test of the local trip

Cause: the coordinator added the counts of all peers at each tick, which grows with their number, and counts of rollouts that this instance does not follow were kept. Change: the sum is changed by each report; counts of other rollouts are discarded each second. An order without a version is ignored, and a new rollout does not log that its state is stale. Tests of the completion with a request in progress at each instance, and of an instance that stops by its own requests.

--- a/internal/decide/rollout/counts.go
+++ b/internal/decide/rollout/counts.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// Subtract subtracts counts that were added before.
+func (t Totals) Subtract(o Totals) {
+	for s, p := range o {
+		t.At(s).subtract(p)
+	}
+}
+
 // NewAnswers returns the number of answers of the new version.
 func (t Totals) NewAnswers() uint64 {
 	n := uint64(0)
--- a/internal/service/rollout/exchange.go
+++ b/internal/service/rollout/exchange.go
@@ -27,13 +27,15 @@
 	assumedInstances = 200
 	// maxPending bounds the reports that wait for the control goroutine. Later ones repeat what a dropped one contains.
 	maxPending = 4096
+	// maxRollouts bounds the rollouts whose counts are kept. Peers may report some that this instance does not follow yet.
+	maxRollouts = 256
 )
 
 // exchange contains what peers have reported. Its methods may be called from any goroutine.
 type exchange struct {
 	mu      sync.Mutex
 	peers   map[entity.InstanceID]*peer
-	counts  map[entity.ServiceName]map[entity.InstanceID]peerCounts
+	counts  map[countsKey]*peerCounts
 	pending []peerStates
 	self    kernel.Snapshot[[]published]
 }
@@ -45,10 +47,16 @@
 	states  []service.RolloutReportState
 }
 
-// peerCounts are the last counts of an instance for one rollout. Those of instances that have ended are kept.
+// countsKey names a rollout.
+type countsKey struct {
+	service entity.ServiceName
+	to      string
+}
+
+// peerCounts are the last counts of each peer for one rollout, and their sum. Those of instances that have ended are kept.
 type peerCounts struct {
-	to     string
-	totals rollout.Totals
+	sum   rollout.Totals
+	peers map[entity.InstanceID]rollout.Totals
 }
 
 // peerStates are reported states that the control goroutine has not applied yet.
@@ -59,7 +67,7 @@
 
 func (e *exchange) init() {
 	e.peers = map[entity.InstanceID]*peer{}
-	e.counts = map[entity.ServiceName]map[entity.InstanceID]peerCounts{}
+	e.counts = map[countsKey]*peerCounts{}
 }
 
 // ApplyRolloutReport implements service.RolloutExchange.
@@ -97,18 +105,14 @@
 }
 
 func (e *exchange) applyCounts(id entity.InstanceID, counts []service.RolloutCounts) {
-	sums := map[entity.ServiceName]peerCounts{}
+	reported := map[countsKey]rollout.Totals{}
 	for i := range counts {
 		c := &counts[i]
-		sum, ok := sums[c.Service]
-		if !ok {
-			sum = peerCounts{to: c.To, totals: rollout.Totals{}}
-			sums[c.Service] = sum
-		}
-		if c.To != sum.to {
-			continue
+		key := countsKey{c.Service, c.To}
+		if reported[key] == nil {
+			reported[key] = rollout.Totals{}
 		}
-		pair := sum.totals.At(rollout.Stratum{Route: c.Route, Zone: string(c.Zone)})
+		pair := reported[key].At(rollout.Stratum{Route: c.Route, Zone: string(c.Zone)})
 		n := &pair.Old
 		if c.New {
 			n = &pair.New[min(max(c.Group, 0), rollout.Groups-1)]
@@ -117,11 +121,18 @@
 		copy(added.Latencies[:], c.Latencies)
 		n.Add(&added)
 	}
-	for name, sum := range sums {
-		if e.counts[name] == nil {
-			e.counts[name] = map[entity.InstanceID]peerCounts{}
+	for key, totals := range reported {
+		all := e.counts[key]
+		if all == nil {
+			if len(e.counts) >= maxRollouts {
+				continue
+			}
+			all = &peerCounts{sum: rollout.Totals{}, peers: map[entity.InstanceID]rollout.Totals{}}
+			e.counts[key] = all
 		}
-		e.counts[name][id] = sum
+		all.sum.Subtract(all.peers[id])
+		all.sum.Add(totals)
+		all.peers[id] = totals
 	}
 }
 
@@ -132,11 +143,22 @@
 	delete(s.exchange.peers, id)
 }
 
-// forgetService discards the counts of a service.
-func (e *exchange) forgetService(name entity.ServiceName) {
+// forget discards the counts of a rollout.
+func (e *exchange) forget(name entity.ServiceName, to string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.counts, countsKey{name, to})
+}
+
+// retain discards the counts of all rollouts but the given ones. Peers report their counts again as long as they follow a rollout.
+func (e *exchange) retain(followed map[entity.ServiceName]*state) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.counts, name)
+	for key := range e.counts {
+		if r := followed[key.service]; r == nil || r.to != key.to {
+			delete(e.counts, key)
+		}
+	}
 }
 
 // totals returns the sum of the counts of all peers for a rollout.
@@ -144,10 +166,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sum := rollout.Totals{}
-	for _, c := range e.counts[name] {
-		if c.to == to {
-			sum.Add(c.totals)
-		}
+	if all := e.counts[countsKey{name, to}]; all != nil {
+		sum.Add(all.sum)
 	}
 	return sum
 }
--- a/internal/service/rollout/harness_test.go
+++ b/internal/service/rollout/harness_test.go
@@ -157,8 +157,10 @@
 	rate      int                // requests to each service at each instance and step
 	took      time.Duration
 	isolated  map[string]bool // zones
-	noTraffic bool
-	log       []sent
+	// badAt limits the failures to the requests of one instance.
+	badAt    entity.InstanceID
+	noCounts bool // heartbeats carry no counts
+	log      []sent
 	// refused counts requests that MayUseOwner refused.
 	refused int
 }
@@ -301,6 +303,9 @@
 			continue
 		}
 		report := from.rollout.RolloutReport(now)
+		if d.noCounts && report != nil {
+			report.Counts = nil
+		}
 		for _, to := range d.instances {
 			if to != from && !to.ended && d.isolated[from.zone] == d.isolated[to.zone] {
 				to.rollout.ApplyRolloutReport(from.id, false, report, now)
@@ -322,9 +327,6 @@
 		i.rollout.Finished(r.service, "route", r.backend, false, result, r.until-r.sent, now)
 		return true
 	})
-	if d.noTraffic {
-		return
-	}
 	for _, svc := range d.services {
 		var usable []*catalog.Backend
 		for _, b := range d.backends {
@@ -363,7 +365,8 @@
 func (d *deployment) send(i *instance, name entity.ServiceName, b *catalog.Backend, now, took time.Duration) {
 	i.rollout.Sent(name, b)
 	d.log = append(d.log, sent{now, name, b.Version, i.id})
-	i.flying = append(i.flying, request{name, b, now, now + took + time.Duration(d.random.IntN(2))*step, d.random.Float64() < d.bad[b.Version]})
+	failed := d.random.Float64() < d.bad[b.Version] && (d.badAt == "" || d.badAt == i.id)
+	i.flying = append(i.flying, request{name, b, now, now + took + time.Duration(d.random.IntN(2))*step, failed})
 }
 
 // until lets time pass until the condition holds, for 20 s at most.
--- a/internal/service/rollout/rollout.go
+++ b/internal/service/rollout/rollout.go
@@ -217,7 +217,11 @@
 			s.startedAt = t.Now()
 		}
 		s.ticks++
-		if s.active(t.Now()) || s.ticks%idleTicks == 0 {
+		idle := s.ticks%idleTicks == 0
+		if idle {
+			s.exchange.retain(s.rollouts)
+		}
+		if idle || s.active(t.Now()) {
 			s.step(t)
 		}
 		t.After(tick, tickMessage{})
--- a/internal/service/rollout/rollout_test.go
+++ b/internal/service/rollout/rollout_test.go
@@ -265,15 +265,39 @@
 	require.LessOrEqual(t, d.clock.Now()-start, duration)
 }
 
-// Guards against a completion while a request is in progress at an old backend, here one that was sent before the order was seen.
+// Guards against a completion while a request is in progress at an old backend, here one that was sent before the order was seen, by
+// the coordinator or by another instance.
 func TestRequestInProgressPreventsTheCompletion(t *testing.T) {
+	for i := range 4 {
+		d := running(t)
+		start := d.clock.Now()
+		d.send(d.instances[i], orders, d.backends[0], start, duration-time.Second)
+		d.order(orders, "v2", duration)
+		d.until("completed", func() bool { return d.everywhere(orders, service.RolloutCompleted) })
+		require.GreaterOrEqual(t, d.clock.Now()-start, duration-time.Second)
+		require.LessOrEqual(t, d.clock.Now()-start, duration)
+	}
+}
+
+// Guards against an instance that goes on sending to a version that is bad for its own requests, until the coordinator knows it.
+func TestInstanceStopsByItsOwnRequests(t *testing.T) {
 	d := running(t)
+	coordinator := d.coordinator(orders).id
+	for _, i := range d.instances {
+		if i.id != coordinator {
+			d.badAt = i.id
+		}
+	}
+	d.noCounts, d.rate = true, 6
+	d.bad["v2"] = 0.6
 	start := d.clock.Now()
-	d.send(d.instances[2], orders, d.backends[0], start, duration-time.Second)
-	d.order(orders, "v2", duration)
-	d.until("completed", func() bool { return d.everywhere(orders, service.RolloutCompleted) })
-	require.GreaterOrEqual(t, d.clock.Now()-start, duration-time.Second)
-	require.LessOrEqual(t, d.clock.Now()-start, duration)
+	d.order(orders, "v2", 20*time.Second)
+	d.run(8 * time.Second)
+	require.True(t, d.everywhere(orders, service.RolloutRunning), "the coordinator knows nothing of the failures")
+	affected := func(id entity.InstanceID) bool { return id == d.badAt }
+	require.Positive(t, d.count(orders, "v2", start, start+3*time.Second, affected))
+	require.Zero(t, d.count(orders, "v2", start+6*time.Second, d.clock.Now(), affected))
+	require.Positive(t, d.count(orders, "v2", start+6*time.Second, d.clock.Now(), func(id entity.InstanceID) bool { return !affected(id) }))
 }
 
 // Guards against an instance that starts and sends requests to a version that was rolled back before.
--- a/internal/service/rollout/state.go
+++ b/internal/service/rollout/state.go
@@ -36,6 +36,7 @@
 	r := &state{
 		service: name, to: to, duration: duration, phase: rollout.Running, reason: rollout.ReasonOrdered, since: now, seenAt: now,
 		learnedAt: now, confirmedAt: now - freshness, rejected: map[string]bool{}, own: rollout.NewComparison(),
+		stale: true,
 	}
 	r.traffic = newTraffic(to, s.partitioned(name), s.instance.ExposureShare, burst)
 	s.rollouts[name], s.changed = r, true
@@ -48,7 +49,7 @@
 	s.logState(telemetry.EventRolloutDropped, r, t.Now(), zap.String("why", why))
 	s.metrics.remove(r.service)
 	delete(s.rollouts, r.service)
-	s.exchange.forgetService(r.service)
+	s.exchange.forget(r.service, r.to)
 	s.dropped[r.service] = true
 }
 
@@ -56,7 +57,7 @@
 func (s *Service) ordersRead(t *kernel.Turn, m service.RolloutsOrdered) {
 	s.ordersAt = max(s.ordersAt, m.At)
 	for name, order := range m.Orders {
-		if !s.configured(name) {
+		if !s.configured(name) || order.To == "" {
 			continue
 		}
 		r := s.rollouts[name]
@@ -88,7 +89,7 @@
 // was completed.
 func (s *Service) replace(t *kernel.Turn, old *state, order service.RolloutOrder) *state {
 	s.logState(telemetry.EventRolloutWithdrawn, old, t.Now(), zap.String("replaced_by", order.To))
-	s.exchange.forgetService(old.service)
+	s.exchange.forget(old.service, old.to)
 	r := s.newState(t.Now(), old.service, order.To, order.Duration)
 	r.rejected = maps.Clone(old.rejected)
 	if old.phase != rollout.Completed {
