Rollout: incomplete reports, age of an order from its first sight

Cause: a heartbeat has room for 4 KB of a report, so that counts are left out, and a peer's counts that a report left out were taken from the sum. Change: reported counts replace those of the same route, zone, version and group only; earlier ones are ignored. The age counts from the first sight.

--- a/internal/decide/rollout/counts.go
+++ b/internal/decide/rollout/counts.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// subtract subtracts earlier counts.
-func (c *Counts) subtract(o *Counts) {
+// Subtract subtracts earlier counts of the same answers.
+func (c *Counts) Subtract(o *Counts) {
 	c.Answers -= min(o.Answers, c.Answers)
 	c.Failed -= min(o.Failed, c.Failed)
 	for i, n := range o.Latencies {
@@ -64,9 +64,9 @@
 
 func (p *Pair) subtract(o *Pair) {
 	for g := range p.New {
-		p.New[g].subtract(&o.New[g])
+		p.New[g].Subtract(&o.New[g])
 	}
-	p.Old.subtract(&o.Old)
+	p.Old.Subtract(&o.Old)
 }
 
 // Totals are the cumulative counts of a rollout by stratum.
@@ -103,13 +103,6 @@
 	}
 }
 
-// Subtract subtracts counts that were added before.
-func (t Totals) Subtract(o Totals) {
-	for s, p := range o {
-		t.At(s).subtract(p)
-	}
-}
-
 // NewAnswers returns the number of answers of the new version.
 func (t Totals) NewAnswers() uint64 {
 	n := uint64(0)
--- a/internal/service/rollout/exchange.go
+++ b/internal/service/rollout/exchange.go
@@ -104,24 +104,11 @@
 	return first
 }
 
+// applyCounts replaces the counts of a peer by later ones. Those that a report leaves out, since its size is bounded, stay.
 func (e *exchange) applyCounts(id entity.InstanceID, counts []service.RolloutCounts) {
-	reported := map[countsKey]rollout.Totals{}
 	for i := range counts {
 		c := &counts[i]
 		key := countsKey{c.Service, c.To}
-		if reported[key] == nil {
-			reported[key] = rollout.Totals{}
-		}
-		pair := reported[key].At(rollout.Stratum{Route: c.Route, Zone: string(c.Zone)})
-		n := &pair.Old
-		if c.New {
-			n = &pair.New[min(max(c.Group, 0), rollout.Groups-1)]
-		}
-		added := rollout.Counts{Answers: c.Answers, Failed: c.Failed}
-		copy(added.Latencies[:], c.Latencies)
-		n.Add(&added)
-	}
-	for key, totals := range reported {
 		all := e.counts[key]
 		if all == nil {
 			if len(e.counts) >= maxRollouts {
@@ -130,10 +117,28 @@
 			all = &peerCounts{sum: rollout.Totals{}, peers: map[entity.InstanceID]rollout.Totals{}}
 			e.counts[key] = all
 		}
-		all.sum.Subtract(all.peers[id])
-		all.sum.Add(totals)
-		all.peers[id] = totals
+		if all.peers[id] == nil {
+			all.peers[id] = rollout.Totals{}
+		}
+		stratum := rollout.Stratum{Route: c.Route, Zone: string(c.Zone)}
+		known, sum := countsOf(all.peers[id].At(stratum), c), countsOf(all.sum.At(stratum), c)
+		if c.Answers < known.Answers {
+			continue // an earlier report
+		}
+		later := rollout.Counts{Answers: c.Answers, Failed: c.Failed}
+		copy(later.Latencies[:], c.Latencies)
+		sum.Subtract(known)
+		sum.Add(&later)
+		*known = later
+	}
+}
+
+// countsOf returns the counts in a pair to which reported ones belong.
+func countsOf(p *rollout.Pair, c *service.RolloutCounts) *rollout.Counts {
+	if c.New {
+		return &p.New[min(max(c.Group, 0), rollout.Groups-1)]
 	}
+	return &p.Old
 }
 
 // ForgetRolloutPeer implements service.RolloutExchange. The counts of the peer are kept until the rollout ends.
--- a/internal/service/rollout/bench_test.go
+++ b/internal/service/rollout/exchange_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
@@ -12,6 +13,36 @@
 	"github.com/pollenpier/pollenpier/internal/service"
 )
 
+// Guards against sums that lose or repeat answers when reports are incomplete, arrive in another order, or their sender has ended.
+func TestSumOfIncompleteReports(t *testing.T) {
+	var e exchange
+	e.init()
+	want := uint64(0)
+	for round := uint64(1); round <= 20; round++ {
+		for _, id := range []entity.InstanceID{"a", "b"} {
+			var rows []service.RolloutCounts
+			for route := range 4 {
+				rows = append(rows, service.RolloutCounts{
+					Service: "s", To: "v2", Route: string(rune('a' + route)), New: true, Group: route % 2, Answers: 10 * round, Failed: round,
+					Latencies: []uint32{0, uint32(9 * round)},
+				})
+			}
+			stale := rows[3]
+			stale.Answers--
+			e.apply(id, false, &service.RolloutReport{Counts: append(rows[round%4:], stale)}, time.Second)
+			if round == 20 {
+				want += 10 * round * uint64(len(rows))
+			}
+		}
+	}
+	e.apply("a", true, nil, 2*time.Second)
+	sum := e.totals("s", "v2")
+	require.Equal(t, want, sum.NewAnswers())
+	require.Zero(t, e.totals("s", "v3").NewAnswers())
+	newer, _ := sum.Summaries()
+	require.Equal(t, want/10, newer.Failed)
+}
+
 // BenchmarkWithoutRollout measures what a request to a service without a rollout costs.
 func BenchmarkWithoutRollout(b *testing.B) {
 	s := New(service.InstanceConfig{ID: "i", ExposureShare: 0.1}, zap.NewNop(), metrics.NewRegistry())
--- a/internal/service/rollout/state.go
+++ b/internal/service/rollout/state.go
@@ -72,7 +72,6 @@
 			r = s.replace(t, r, order)
 		}
 		r.inOrders, r.withdrawn, r.duration = true, false, order.Duration
-		r.seenAt = min(r.seenAt, m.At)
 	}
 	for name, r := range s.rollouts {
 		if _, ok := m.Orders[name]; !ok && !r.withdrawn && r.knownBy(m.At) {
--- a/internal/service/rollout/traffic.go
+++ b/internal/service/rollout/traffic.go
@@ -245,7 +245,8 @@
 	return sum
 }
 
-// counts returns the counts as reports contain them.
+// counts returns the counts as reports contain them. Their order differs from call to call (that of a map), so that each is reported
+// again and again even if a report has no room for all.
 func (t *traffic) counts(name entity.ServiceName, to string) []service.RolloutCounts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
