Rollout: announce the end of requests at old backends

Cause: with many instances heartbeats are up to 2.6 s apart. A switch whose last requests ended just after one was completed 0.9 s after the end of the order. Besides, each instance asked for an immediate heartbeat to all peers when it adopted a phase. Change: an instance announces once that it has no request at old backends after the switch, up to 256 instances. Only the coordinator announces phases. Result: TestRareHeartbeats (2.6 s between heartbeats, requests of 1.5 s): completed at 12.9 s of 12 s without the change, in time with it.

--- a/internal/service/rollout/harness_test.go
+++ b/internal/service/rollout/harness_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,6 +117,20 @@
 	*store
 }
 
+// membersStub records that an immediate heartbeat is requested.
+type membersStub struct {
+	stub
+	urgent *atomic.Bool
+}
+
+func (s membersStub) Handle(t *kernel.Turn, m kernel.Message) {
+	if _, ok := m.(service.RolloutChanged); ok {
+		s.urgent.Store(true)
+		return
+	}
+	s.stub.Handle(t, m)
+}
+
 // instance is one instance of the deployment.
 type instance struct {
 	id      entity.InstanceID
@@ -125,6 +140,8 @@
 	ended   bool
 	// flying are the requests in progress.
 	flying []request
+	urgent atomic.Bool
+	beatAt time.Duration // of the last heartbeat
 }
 
 type request struct {
@@ -157,6 +174,7 @@
 	rate      int                // requests to each service at each instance and step
 	took      time.Duration
 	isolated  map[string]bool // zones
+	beat      time.Duration   // interval of heartbeats
 	// badAt limits the failures to the requests of one instance.
 	badAt    entity.InstanceID
 	noCounts bool // heartbeats carry no counts
@@ -168,7 +186,7 @@
 func newDeployment(t *testing.T, instances int) *deployment {
 	t.Helper()
 	d := &deployment{
-		t: t, clock: kernel.NewManualClock(), store: &store{}, random: rand.New(rand.NewPCG(1, 2)), rate: 3, took: 2 * step,
+		t: t, clock: kernel.NewManualClock(), store: &store{}, random: rand.New(rand.NewPCG(1, 2)), rate: 3, took: 2 * step, beat: 2 * step,
 		services: []*catalog.Service{{Name: orders}, {Name: stock, Partitioned: true}},
 		orders:   map[entity.ServiceName]service.RolloutOrder{}, bad: map[string]float64{}, isolated: map[string]bool{},
 	}
@@ -187,7 +205,7 @@
 	i.rollout = rollout.New(config, zap.NewNop(), metrics.NewRegistry())
 	var err error
 	i.kernel, err = kernel.New(d.clock, []kernel.Service{
-		i.rollout, storeStub{stub{service.Store}, d.store}, stub{service.Members},
+		i.rollout, storeStub{stub{service.Store}, d.store}, membersStub{stub{service.Members}, &i.urgent},
 	})
 	require.NoError(d.t, err)
 	require.NoError(d.t, i.kernel.Start(context.Background()))
@@ -295,13 +313,11 @@
 }
 
 func (d *deployment) heartbeats(now time.Duration) {
-	if now%(2*step) != 0 {
-		return
-	}
 	for _, from := range d.instances {
-		if from.ended {
+		if urgent := from.urgent.Swap(false); from.ended || !urgent && now-from.beatAt < d.beat {
 			continue
 		}
+		from.beatAt = now
 		report := from.rollout.RolloutReport(now)
 		if d.noCounts && report != nil {
 			report.Counts = nil
--- a/internal/service/rollout/rollout.go
+++ b/internal/service/rollout/rollout.go
@@ -42,6 +42,8 @@
 	// orderLag is how old a read of the operator's records must at least be newer than what was learned from others, so that the absence
 	// of an order in it means that the order was withdrawn.
 	orderLag = 2 * time.Second
+	// maxAnnounced is the number of instances up to which each of them announces that it has no request at old backends.
+	maxAnnounced = 256
 	// reportEnded is how long the end of a rollout is reported to peers.
 	reportEnded = 30 * time.Second
 )
@@ -106,6 +108,7 @@
 	tripped             bool
 	keysMoved           bool
 	oldGone             bool
+	cleared             bool // see announceCleared
 
 	traffic    *traffic
 	own        *rollout.Comparison // of this instance's requests
@@ -273,6 +276,7 @@
 	for _, r := range s.rollouts {
 		s.observeOwn(t, r)
 		s.coordinate(t, r)
+		s.announceCleared(t, r)
 		s.forgetIfEnded(t, r)
 	}
 	s.writeIfDue(t)
--- a/internal/service/rollout/rollout_test.go
+++ b/internal/service/rollout/rollout_test.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// Guards against a deployment of many instances, whose heartbeats are rare, in which a rollout goes stale or ends too late.
+func TestRareHeartbeats(t *testing.T) {
+	for name, failures := range map[string]float64{"good": 0, "bad": 0.3} {
+		t.Run(name, func(t *testing.T) {
+			d := running(t)
+			d.beat, d.took = 2600*time.Millisecond, 1500*time.Millisecond
+			d.run(8 * time.Second)
+			d.bad["v2"] = failures
+			start := d.clock.Now()
+			d.order(orders, "v2", duration)
+			if failures > 0 {
+				d.until("rolled back", func() bool { return d.everywhere(orders, service.RolloutRolledBack) })
+				require.Less(t, d.clock.Now()-start, 8*time.Second)
+				return
+			}
+			d.run(5 * time.Second)
+			for _, i := range d.instances {
+				by := func(id entity.InstanceID) bool { return id == i.id }
+				require.Positive(t, d.count(orders, "v2", d.clock.Now()-2*time.Second, d.clock.Now(), by), "%s is stale", i.id)
+			}
+			d.until("completed", func() bool { return d.everywhere(orders, service.RolloutCompleted) })
+			require.LessOrEqual(t, d.clock.Now()-start, duration)
+		})
+	}
+}
+
 // Guards against a bad version that keeps its requests because the rollback cannot be written, and against a rollback that is lost.
 func TestRollbackIsAppliedBeforeItIsWritten(t *testing.T) {
 	d := running(t)
--- a/internal/service/rollout/state.go
+++ b/internal/service/rollout/state.go
@@ -155,7 +155,19 @@
 		r.wanted = 0
 	}
 	s.logState(telemetry.EventRolloutPhase, r, t.Now(), zap.String("why", reason))
-	t.Send(service.Members, service.RolloutChanged{})
+	if r.coordinating {
+		t.Send(service.Members, service.RolloutChanged{})
+	}
+}
+
+// announceCleared sends a heartbeat as soon as this instance has no request at old backends after the switch, on which the completion
+// waits. The next regular one may be seconds away.
+func (s *Service) announceCleared(t *kernel.Turn, r *state) {
+	cleared := s.appliedPhase(r, t.Now()) == rollout.Switching && s.flights.old(r.service, r.to) == 0
+	if cleared && !r.cleared && !r.coordinating && s.exchange.known() <= maxAnnounced {
+		t.Send(service.Members, service.RolloutChanged{})
+	}
+	r.cleared = cleared
 }
 
 // directoryChanged applies a view of configuration and backends. A service that is no longer configured drops its order.
