--- a/internal/service/rollout/exchange.go
+++ b/internal/service/rollout/exchange.go
@@ -27,13 +27,15 @@
 	assumedInstances = 200
 	// maxPending bounds the reports that wait for the control goroutine. Later ones repeat what a dropped one contains.
 	maxPending = 4096
+	// maxRollouts bounds the rollouts whose counts are kept. Peers may report some that this instance does not follow yet.
+	maxRollouts = 256
 )
 
 // exchange contains what peers have reported. Its methods may be called from any goroutine.
 type exchange struct {
 	mu      sync.Mutex
 	peers   map[entity.InstanceID]*peer
-	counts  map[entity.ServiceName]map[entity.InstanceID]peerCounts
+	counts  map[countsKey]*peerCounts
 	pending []peerStates
 	self    kernel.Snapshot[[]published]
 }
@@ -45,10 +47,16 @@
 	states  []service.RolloutReportState
 }
 
-// peerCounts are the last counts of an instance for one rollout. Those of instances that have ended are kept.
+// countsKey names a rollout.
+type countsKey struct {
+	service entity.ServiceName
+	to      string
+}
+
+// peerCounts are the last counts of each peer for one rollout, and their sum. Those of instances that have ended are kept.
 type peerCounts struct {
-	to     string
-	totals rollout.Totals
+	sum   rollout.Totals
+	peers map[entity.InstanceID]rollout.Totals
 }
 
 // peerStates are reported states that the control goroutine has not applied yet.
@@ -59,7 +67,7 @@
 
 func (e *exchange) init() {
 	e.peers = map[entity.InstanceID]*peer{}
-	e.counts = map[entity.ServiceName]map[entity.InstanceID]peerCounts{}
+	e.counts = map[countsKey]*peerCounts{}
 }
 
 // ApplyRolloutReport implements service.RolloutExchange.
@@ -96,33 +104,41 @@
 	return first
 }
 
+// applyCounts replaces the counts of a peer by later ones. Those that a report leaves out, since its size is bounded, stay.
 func (e *exchange) applyCounts(id entity.InstanceID, counts []service.RolloutCounts) {
-	sums := map[entity.ServiceName]peerCounts{}
 	for i := range counts {
 		c := &counts[i]
-		sum, ok := sums[c.Service]
-		if !ok {
-			sum = peerCounts{to: c.To, totals: rollout.Totals{}}
-			sums[c.Service] = sum
+		key := countsKey{c.Service, c.To}
+		all := e.counts[key]
+		if all == nil {
+			if len(e.counts) >= maxRollouts {
+				continue
+			}
+			all = &peerCounts{sum: rollout.Totals{}, peers: map[entity.InstanceID]rollout.Totals{}}
+			e.counts[key] = all
 		}
-		if c.To != sum.to {
-			continue
+		if all.peers[id] == nil {
+			all.peers[id] = rollout.Totals{}
 		}
-		pair := sum.totals.At(rollout.Stratum{Route: c.Route, Zone: string(c.Zone)})
-		n := &pair.Old
-		if c.New {
-			n = &pair.New[min(max(c.Group, 0), rollout.Groups-1)]
+		stratum := rollout.Stratum{Route: c.Route, Zone: string(c.Zone)}
+		known, sum := countsOf(all.peers[id].At(stratum), c), countsOf(all.sum.At(stratum), c)
+		if c.Answers < known.Answers {
+			continue // an earlier report
 		}
-		added := rollout.Counts{Answers: c.Answers, Failed: c.Failed}
-		copy(added.Latencies[:], c.Latencies)
-		n.Add(&added)
+		later := rollout.Counts{Answers: c.Answers, Failed: c.Failed}
+		copy(later.Latencies[:], c.Latencies)
+		sum.Subtract(known)
+		sum.Add(&later)
+		*known = later
 	}
-	for name, sum := range sums {
-		if e.counts[name] == nil {
-			e.counts[name] = map[entity.InstanceID]peerCounts{}
-		}
-		e.counts[name][id] = sum
+}
+
+// countsOf returns the counts in a pair to which reported ones belong.
+func countsOf(p *rollout.Pair, c *service.RolloutCounts) *rollout.Counts {
+	if c.New {
+		return &p.New[min(max(c.Group, 0), rollout.Groups-1)]
 	}
+	return &p.Old
 }
 
 // ForgetRolloutPeer implements service.RolloutExchange. The counts of the peer are kept until the rollout ends.
@@ -132,11 +148,22 @@
 	delete(s.exchange.peers, id)
 }
 
-// forgetService discards the counts of a service.
-func (e *exchange) forgetService(name entity.ServiceName) {
+// forget discards the counts of a rollout.
+func (e *exchange) forget(name entity.ServiceName, to string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.counts, name)
+	delete(e.counts, countsKey{name, to})
+}
+
+// retain discards the counts of all rollouts but the given ones. Peers report their counts again as long as they follow a rollout.
+func (e *exchange) retain(followed map[entity.ServiceName]*state) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key := range e.counts {
+		if r := followed[key.service]; r == nil || r.to != key.to {
+			delete(e.counts, key)
+		}
+	}
 }
 
 // totals returns the sum of the counts of all peers for a rollout.
@@ -144,10 +171,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sum := rollout.Totals{}
-	for _, c := range e.counts[name] {
-		if c.to == to {
-			sum.Add(c.totals)
-		}
+	if all := e.counts[countsKey{name, to}]; all != nil {
+		sum.Add(all.sum)
 	}
 	return sum
 }
--- a/internal/service/rollout/rollout_test.go
+++ b/internal/service/rollout/rollout_test.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// Guards against a deployment of many instances, whose heartbeats are rare, in which a rollout goes stale or ends too late.
+func TestRareHeartbeats(t *testing.T) {
+	for name, failures := range map[string]float64{"good": 0, "bad": 0.3} {
+		t.Run(name, func(t *testing.T) {
+			d := running(t)
+			d.beat, d.took = 2600*time.Millisecond, 1500*time.Millisecond
+			d.run(8 * time.Second)
+			d.bad["v2"] = failures
+			start := d.clock.Now()
+			d.order(orders, "v2", duration)
+			if failures > 0 {
+				d.until("rolled back", func() bool { return d.everywhere(orders, service.RolloutRolledBack) })
+				require.Less(t, d.clock.Now()-start, 8*time.Second)
+				return
+			}
+			d.run(5 * time.Second)
+			for _, i := range d.instances {
+				by := func(id entity.InstanceID) bool { return id == i.id }
+				require.Positive(t, d.count(orders, "v2", d.clock.Now()-2*time.Second, d.clock.Now(), by), "%s is stale", i.id)
+			}
+			d.until("completed", func() bool { return d.everywhere(orders, service.RolloutCompleted) })
+			require.LessOrEqual(t, d.clock.Now()-start, duration)
+		})
+	}
+}
+
 // Guards against a bad version that keeps its requests because the rollback cannot be written, and against a rollback that is lost.
 func TestRollbackIsAppliedBeforeItIsWritten(t *testing.T) {
 	d := running(t)
@@ -265,15 +291,39 @@
 	require.LessOrEqual(t, d.clock.Now()-start, duration)
 }
 
-// Guards against a completion while a request is in progress at an old backend, here one that was sent before the order was seen.
+// Guards against a completion while a request is in progress at an old backend, here one that was sent before the order was seen, by
+// the coordinator or by another instance.
 func TestRequestInProgressPreventsTheCompletion(t *testing.T) {
+	for i := range 4 {
+		d := running(t)
+		start := d.clock.Now()
+		d.send(d.instances[i], orders, d.backends[0], start, duration-time.Second)
+		d.order(orders, "v2", duration)
+		d.until("completed", func() bool { return d.everywhere(orders, service.RolloutCompleted) })
+		require.GreaterOrEqual(t, d.clock.Now()-start, duration-time.Second)
+		require.LessOrEqual(t, d.clock.Now()-start, duration)
+	}
+}
+
+// Guards against an instance that goes on sending to a version that is bad for its own requests, until the coordinator knows it.
+func TestInstanceStopsByItsOwnRequests(t *testing.T) {
 	d := running(t)
+	coordinator := d.coordinator(orders).id
+	for _, i := range d.instances {
+		if i.id != coordinator {
+			d.badAt = i.id
+		}
+	}
+	d.noCounts, d.rate = true, 6
+	d.bad["v2"] = 0.6
 	start := d.clock.Now()
-	d.send(d.instances[2], orders, d.backends[0], start, duration-time.Second)
-	d.order(orders, "v2", duration)
-	d.until("completed", func() bool { return d.everywhere(orders, service.RolloutCompleted) })
-	require.GreaterOrEqual(t, d.clock.Now()-start, duration-time.Second)
-	require.LessOrEqual(t, d.clock.Now()-start, duration)
+	d.order(orders, "v2", 20*time.Second)
+	d.run(8 * time.Second)
+	require.True(t, d.everywhere(orders, service.RolloutRunning), "the coordinator knows nothing of the failures")
+	affected := func(id entity.InstanceID) bool { return id == d.badAt }
+	require.Positive(t, d.count(orders, "v2", start, start+3*time.Second, affected))
+	require.Zero(t, d.count(orders, "v2", start+6*time.Second, d.clock.Now(), affected))
+	require.Positive(t, d.count(orders, "v2", start+6*time.Second, d.clock.Now(), func(id entity.InstanceID) bool { return !affected(id) }))
 }
 
 // Guards against an instance that starts and sends requests to a version that was rolled back before.
