--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -85,10 +85,6 @@
 // maxDelta bounds the table delta in a heartbeat, in bytes.
 const maxDelta = 8 << 10
 
-// maxUrgentPeers bounds the peers to which a changed rollout is sent at once. Every instance that learns of the change sends it on; in
-// larger deployments the next heartbeats, which are a second apart, are soon enough.
-const maxUrgentPeers = 256
-
 // reportEvery is the number of intervals between two reports of the requested keys to the coordinator.
 const reportEvery = 2
 
@@ -289,9 +285,7 @@
 		}
 		s.keys.Change = nil
 	case service.RolloutChanged:
-		if len(s.peers) <= maxUrgentPeers {
-			s.broadcast()
-		}
+		s.broadcast()
 	case retryRegister:
 		s.register(t)
 	case leave:
--- a/internal/service/rollout/publish.go
+++ b/internal/service/rollout/publish.go
@@ -41,7 +41,7 @@
 		if r.phase.Ended() && now-r.since >= reportEnded {
 			continue
 		}
-		p := published{seenAt: r.seenAt, confirmedAt: r.confirmedAt, keysAtOld: s.partitioned(name) && !r.keysMoved, state: service.RolloutReportState{
+		p := published{seenAt: r.seenAt, confirmedAt: r.confirmedAt, keysAtOld: s.keysAtOld(r), state: service.RolloutReportState{
 			Service: name, To: r.to, Phase: service.RolloutPhase(s.appliedPhase(r, now)), Reason: r.reason, Duration: r.duration,
 		}}
 		if r.written {
--- a/internal/service/rollout/state.go
+++ b/internal/service/rollout/state.go
@@ -160,10 +160,13 @@
 	}
 }
 
+// keysAtOld reports whether the table of key ranges of this instance names owners of old versions.
+func (s *Service) keysAtOld(r *state) bool { return s.partitioned(r.service) && !r.keysMoved }
+
 // announceCleared sends a heartbeat as soon as this instance has no request at old backends after the switch, on which the completion
 // waits. The next regular one may be seconds away.
 func (s *Service) announceCleared(t *kernel.Turn, r *state) {
-	cleared := s.appliedPhase(r, t.Now()) == rollout.Switching && s.flights.old(r.service, r.to) == 0
+	cleared := s.appliedPhase(r, t.Now()) == rollout.Switching && !s.keysAtOld(r) && s.flights.old(r.service, r.to) == 0
 	if cleared && !r.cleared && !r.coordinating && s.exchange.known() <= maxAnnounced {
 		t.Send(service.Members, service.RolloutChanged{})
 	}
