--- a/internal/service/directory.go
+++ b/internal/service/directory.go
@@ -78,11 +78,11 @@
 	At time.Duration
 }
 
-// StoreOutage is sent by the feed to directory, keys and loads when reads of the store fail and when they succeed again.
+// StoreOutage is sent by the feed to directory, keys, loads and rollout when reads of the store fail and when they succeed again.
 type StoreOutage struct {
 	Unavailable bool
 	At          time.Duration
 }
 
-// DirectoryChanged is sent by the directory to keys and loads after it has published a view.
+// DirectoryChanged is sent by the directory to keys, loads and rollout after it has published a view.
 type DirectoryChanged struct{ View *DirectoryView }
