Rollout: local trips end when the coordinator keeps to the version

Cause: an instance that wrongly found a version bad by its own few requests reported the phase running for the rest of the order. With some 200 instances, one of them is likely to be wrong under a fault of the environment, and the switch of a good version then did not end. Change: a trip ends 2.5 s later, or at the switch, if the state is confirmed: the coordinator has the same counts by then. Its test begins anew.

--- a/internal/decide/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -176,8 +176,11 @@
 	return &Comparison{indexes: map[Stratum]int{}, routes: []string{""}}
 }
 
-// Verdict returns the verdict of the last observation.
-func (c *Comparison) Verdict() Verdict { return c.verdict }
+// Restart discards the verdict and the sums. Later observations are tested without the given answers of the new version.
+func (c *Comparison) Restart(now time.Duration, totals Totals) {
+	c.verdict, c.past = Verdict{}, nil
+	c.start, c.startAt = c.flatten(totals), now
+}
 
 // Observe applies the cumulative counts at a time and returns the verdict. Loaded means that the new version has all the load, so that
 // some of its answers are slower than those of the old version were.
--- a/internal/service/rollout/rollout.go
+++ b/internal/service/rollout/rollout.go
@@ -42,6 +42,9 @@
 	// orderLag is how old a read of the operator's records must at least be newer than what was learned from others, so that the absence
 	// of an order in it means that the order was withdrawn.
 	orderLag = 2 * time.Second
+	// tripTime is how long an instance that has found a version bad waits for the coordinator to decide on it. One of many instances
+	// may be wrong, and would hold up the switch of a good version for all.
+	tripTime = 2500 * time.Millisecond
 	// maxAnnounced is the number of instances up to which each of them announces that it has no request at old backends.
 	maxAnnounced = 256
 	// reportEnded is how long the end of a rollout is reported to peers.
@@ -106,6 +109,7 @@
 	inOrders, withdrawn bool
 	rejected            map[string]bool
 	tripped             bool
+	trippedAt           time.Duration
 	keysMoved           bool
 	oldGone             bool
 	cleared             bool // see announceCleared
@@ -286,15 +290,29 @@
 // observeOwn tests this instance's own requests. It finds a bad version while the coordinator cannot be reached, or before it decides.
 func (s *Service) observeOwn(t *kernel.Turn, r *state) {
 	now := t.Now()
-	if r.phase.Ended() || r.tripped || now-r.observedAt < observeInterval {
+	if r.phase.Ended() || now-r.observedAt < observeInterval {
 		return
 	}
 	r.observedAt = now
 	totals := r.traffic.copyTotals()
 	s.metrics.update(r, totals)
+	if r.tripped && now-r.trippedAt >= tripTime && r.fresh(now) {
+		s.liftTrip(r, now)
+	}
+	if r.tripped {
+		return
+	}
 	if v := r.own.Observe(now, totals, r.phase == rollout.Switching); v.Bad {
-		r.tripped = true
+		r.tripped, r.trippedAt = true, now
 		s.metrics.trips.Inc(1)
 		s.logState(telemetry.EventRolloutTripped, r, now, zap.String("why", v.Reason))
 	}
 }
+
+// liftTrip lets the new version get requests of this instance again: the coordinator knows the counts of all instances and keeps to the
+// rollout.
+func (s *Service) liftTrip(r *state, now time.Duration) {
+	r.tripped = false
+	r.own.Restart(now, r.traffic.copyTotals())
+	s.logState(telemetry.EventRolloutTripLifted, r, now)
+}
--- a/internal/service/rollout/state.go
+++ b/internal/service/rollout/state.go
@@ -155,6 +155,9 @@
 		r.wanted = 0
 	}
 	s.logState(telemetry.EventRolloutPhase, r, t.Now(), zap.String("why", reason))
+	if r.tripped && phase == rollout.Switching {
+		s.liftTrip(r, t.Now())
+	}
 	if r.coordinating {
 		t.Send(service.Members, service.RolloutChanged{})
 	}
