--- a/internal/telemetry/catalogue_rollout.go
+++ b/internal/telemetry/catalogue_rollout.go
@@ -19,5 +19,5 @@
 	EventRolloutFresh          = define(2412, zapcore.InfoLevel, "state of a rollout confirmed again")
 	EventRolloutCoordinator    = define(2413, zapcore.InfoLevel, "coordinating a rollout")
 	EventRolloutNotCoordinator = define(2414, zapcore.InfoLevel, "no longer coordinating a rollout")
-	EventRolloutTripLifted     = define(2415, zapcore.InfoLevel, "new version gets requests of this instance again, the coordinator keeps to it")
+	EventRolloutTripLifted     = define(2419, zapcore.InfoLevel, "new version gets requests of this instance again, the coordinator keeps to it")
 )
