--- a/internal/decide/rollout/histories_test.go
+++ b/internal/decide/rollout/histories_test.go
@@ -366,3 +366,19 @@
 	require.LessOrEqual(t, worstAfter, rollbackTime)
 	require.LessOrEqual(t, float64(missed), mostMissed*histories)
 }
+
+// Guards against any bad version that is completed or gets more requests than the exposure limit allows.
+func TestAllBadVersionsStayWithinTheExposureLimit(t *testing.T) {
+	for seed := range uint64(histories) {
+		r := badWorld(seed).run()
+		require.LessOrEqual(t, float64(r.sentNew), exposeShare*float64(r.all)+slack, "seed %d", seed)
+		require.Equal(t, rollout.RolledBack, r.phase, "seed %d", seed)
+	}
+}
+
+// Guards against a good version that is rolled back because one of its two canaries is slow or stands still for a time.
+func TestNoFaultOfOneCanaryIsBlamedOnTheVersion(t *testing.T) {
+	for seed := range uint64(histories) {
+		require.Equal(t, rollout.Completed, canaryWorld(seed).run().phase, "seed %d", seed)
+	}
+}
