Do not count failed answers as successes of a cold backend

Cause: looking for the collapse in TestZoneOutDuringColdStart. The ramp counted every complete answer, also 504 (the session lapsed under the request) and 500 (the backend has collapsed). After 9 real successes and one 504 it sent two requests at once to a backend that was not warm yet. Change: an answer with a status of 500 or above does not warm a backend.

--- a/internal/decide/backpressure/ramp.go
+++ b/internal/decide/backpressure/ramp.go
@@ -87,7 +87,7 @@
 // from before a restart do not apply to the process after it.
 func (r *Ramp) Generation() uint64 { return r.generation }
 
-// RecordSuccess counts an answered request and adds one slot after every successesPerSlot of them.
+// RecordSuccess counts a request that was answered with a status below 500 and adds one slot after every successesPerSlot of them.
 func (r *Ramp) RecordSuccess(generation uint64) {
 	r.pause = 0
 	if generation != r.generation || r.limit >= r.ceiling {
--- a/internal/service/dispatch/answer.go
+++ b/internal/service/dispatch/answer.go
@@ -140,7 +140,9 @@
 
 // recordSuccess records a complete answer. The caller holds the lock.
 func (q *backendQueue) recordSuccess(f *flight, stored *outcome.Answer, now time.Duration) {
-	q.ramp.RecordSuccess(f.generation)
+	if !f.failed { // a cold backend may answer so because it already has too many requests, or because its session has lapsed
+		q.ramp.RecordSuccess(f.generation)
+	}
 	q.svc.clearSuspect(f.suspect)
 	q.svc.meters.outcome(entity.Answered())
 	if !f.recorded {
--- a/internal/service/dispatch/flight.go
+++ b/internal/service/dispatch/flight.go
@@ -47,6 +47,7 @@
 	grantedAt  time.Duration
 	sentAt     time.Duration // zero until this attempt is sent
 	answeredAt time.Duration // when the head of the answer arrived, zero before
+	failed     bool          // the answer's status is 500 or above
 	until      time.Duration // deadline sent to the backend
 	generation uint64        // of the ramp, when the slot was granted
 }
--- a/internal/service/dispatch/rampstate_test.go
+++ b/internal/service/dispatch/rampstate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -46,6 +47,36 @@
 	}
 }
 
+// Guards against a cold backend that gets more requests at once after answers that are no successes: it answers 504 when its session
+// lapses under a request, and 500 while it has collapsed.
+func TestFailedAnswersDoNotWarmABackend(t *testing.T) {
+	const slots = 3
+	for _, c := range []struct {
+		status int
+		most   int64
+	}{
+		{http.StatusGatewayTimeout, 1},
+		{http.StatusInternalServerError, 1},
+		{http.StatusNotFound, slots},
+	} {
+		t.Run(http.StatusText(c.status), func(t *testing.T) {
+			net := newNetwork()
+			n := net.node(t, "i1", nil)
+			n.backends.do = func(context.Context, *backend.Call) (*backend.Answer, error) {
+				time.Sleep(2 * time.Millisecond)
+				a := answer("ok")
+				a.Status = c.status
+				return a, nil
+			}
+			n.setUp(slots, "i1")
+			n.manage(1, "p1")
+			n.burst(t, 10*slots)
+			n.burst(t, 2*slots)
+			require.Equal(t, c.most, n.backends.maxRunning.Load())
+		})
+	}
+}
+
 // manage makes the node the primary of a backend with the start id.
 func (n *node) manage(term entity.Term, startID string) {
 	n.becomePrimary(term)
--- a/internal/service/dispatch/send.go
+++ b/internal/service/dispatch/send.go
@@ -148,6 +148,7 @@
 	q.mu.Lock()
 	f.state = flightStreaming
 	f.answeredAt = now
+	f.failed = answer.Status >= http.StatusInternalServerError
 	q.observeStartID(answer.StartID, now)
 	q.mu.Unlock()
 	b := &answerBody{
