Read the store again when it returns from an older copy

Cause: the store may lose writes that it has acknowledged and assign their offsets again (header Store-Era). The client compared offsets of both histories: a compare-and-set could succeed at an offset that was assigned again, reads continued in the middle of the new history, and missing records removed backends and evacuations. Change: versions and positions contain the era, so those of a later era are higher and a relayed position of another era is never continued. The feed reads all records again; it removes nothing, keeps evacuations as they are for configApplyS, and does not list processes that were removed before.

--- a/internal/decide/storesync/storesync.go
+++ b/internal/decide/storesync/storesync.go
@@ -1,7 +1,7 @@
 // Package storesync decides whether a store-based instance has to read the backend records and the operators' records from the
 // store, or already has them from a peer in its zone. One instance of each zone, the zone reader, polls the store. In its
-// heartbeats it reports to its peers how far it has read and relays the changes that it found. Offsets are those of the store
-// and never decrease.
+// heartbeats it reports to its peers how far it has read and relays the changes that it found. Offsets are positions in the store
+// that contain its era, see service.NewVersion: those of a later era are higher, and never decrease.
 package storesync
 
 import "time"
--- a/internal/decide/storesync/storesync_test.go
+++ b/internal/decide/storesync/storesync_test.go
@@ -89,6 +89,32 @@
 	require.True(t, started.Entries(0, now).ReadStore, "a process that has just started has no backend records")
 }
 
+// Guards against an instance that applies changes across a return of the store from an older copy: the records between its offset and
+// that of the zone reader belong to two histories.
+func TestChangesAcrossAnEraAreRead(t *testing.T) {
+	const nextEra = 1 << 40 // see service.NewVersion
+	var reader, other storesync.Tracker
+	now := 2 * time.Second
+	for _, tracker := range []*storesync.Tracker{&reader, &other} {
+		tracker.EntriesRead(98, nil, true, now)
+		tracker.OperatorRead(8, nil, now)
+	}
+	reader.EntriesRead(100, []byte("a"), false, now)
+	reader.OperatorRead(9, []byte("b"), now)
+	reader.EntriesRead(nextEra+50, []byte("all"), true, now)
+	reader.OperatorRead(nextEra+4, nil, now)
+	reader.EntriesRead(nextEra+51, []byte("c"), false, now)
+	reader.OperatorRead(nextEra+5, []byte("d"), now)
+	other.ReceiveUpdate(reader.Outgoing(now), now)
+	require.True(t, other.Entries(98, now).ReadStore)
+	require.True(t, other.Operator(8, now).ReadStore)
+	require.Equal(t, storesync.Step{UpTo: nextEra + 51, Records: [][]byte{[]byte("c")}, At: now}, other.Entries(nextEra+50, now))
+	require.Equal(t, storesync.Step{UpTo: nextEra + 5, Records: [][]byte{[]byte("d")}, At: now}, other.Operator(nextEra+4, now))
+
+	reader.ReceiveUpdate(storesync.Update{EntriesOffset: 1000, LastChangeOffset: 1000, OperatorOffset: 1000}, now)
+	require.True(t, reader.Entries(nextEra+51, now).ReadStore, "the other instance has not seen the era")
+}
+
 // Guards against instances that assume a later offset than that of the changes they have received, for any order of changes,
 // reads and lost heartbeats.
 func TestKnownPositionsCoverAllChanges(t *testing.T) {
--- a/internal/service/directory.go
+++ b/internal/service/directory.go
@@ -49,6 +49,9 @@
 	Entries []BackendEntry
 	// Complete is true if Entries are all records in the store, so that backends missing from it have been removed.
 	Complete bool
+	// NewEra is true for the first, complete read after the store has returned from an older copy: missing records may have been
+	// lost, and those of terminated processes may be back.
+	NewEra bool
 	// At is when the read was sent, on the kernel's clock.
 	At time.Duration
 	// PreviousReadAt is when the previous successful read was sent. New records in Entries were written after that. It is zero
--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -34,6 +34,7 @@
 	lapsed           map[entity.BackendID]time.Duration // until when backends without a record are kept
 	unconfigured     map[entity.BackendID]readEntry     // records of services that are not configured
 	contradicting    map[entity.BackendID]readEntry     // records that contradict a backend, see contradicts
+	dropped          droppedProcesses
 	leaving          leavingProcesses
 	evacuated        map[entity.Zone]bool
 	evacuatedSince   map[entity.Zone]time.Duration // when each zone was evacuated
@@ -62,6 +63,7 @@
 		unconfigured:   map[entity.BackendID]readEntry{},
 		contradicting:  map[entity.BackendID]readEntry{},
 		leaving:        leavingProcesses{},
+		dropped:        droppedProcesses{},
 		evacuated:      map[entity.Zone]bool{},
 		evacuatedSince: map[entity.Zone]time.Duration{},
 		reenabled:      map[entity.Zone]reenabledZone{},
@@ -133,6 +135,9 @@
 func (s *Service) backendsRead(t *kernel.Turn, m service.BackendsRead) {
 	s.readAt = m.At
 	s.noteRecovery(m)
+	if m.NewEra {
+		s.keepMissing(t, m)
+	}
 	changed := !s.backendsLoaded // the first read is published even if it is empty
 	s.backendsLoaded = true
 	changed = s.reenabledZonesRead(m.At) || changed
@@ -141,6 +146,7 @@
 		seen[e.ID] = true
 		switch {
 		case e.Invalid:
+		case m.NewEra && e.Backend != nil && s.dropped.contains(e.Backend):
 		case e.Backend == nil:
 			changed = s.remove(t, e.ID, m) || changed
 		default:
@@ -186,6 +192,7 @@
 		s.leaving.record(processHash(&next), r.lastActiveAt, now)
 	}
 	next.LastActiveAt, next.Draining = s.leaving.since(processHash(&next))
+	delete(s.dropped, processHash(&next))
 	if old != nil && old.SameProcess(&next) && old.Draining == next.Draining && old.LastActiveAt == next.LastActiveAt &&
 		old.Slots == next.Slots && sameWarmup(old.WarmUntil, next.WarmUntil, now) {
 		return false
@@ -210,6 +217,7 @@
 }
 
 func (s *Service) drop(id entity.BackendID) {
+	s.dropped.add(s.backends[id], s.readAt)
 	telemetry.EventBackendRemoved.Log(s.log, zap.String("backend", string(id)), zap.String("service", string(s.backends[id].Service)))
 	delete(s.backends, id)
 	delete(s.lapsed, id)
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -62,3 +62,13 @@
 	EventSettingsRejected  = define(2181, zapcore.WarnLevel, "changed settings cannot be read, the previous settings stay in effect")
 	EventLinesDropped      = define(2190, zapcore.WarnLevel, "log lines dropped")
 )
+
+// Events of returns of the store from an older copy: 2430 to 2439.
+var (
+	EventStoreEra       = define(2430, zapcore.WarnLevel, "store is in a later era, writes that it had acknowledged may be lost")
+	EventEraRead        = define(2431, zapcore.InfoLevel, "newest records read again in a later era of the store")
+	EventTableKept      = define(2432, zapcore.InfoLevel, "table of key ranges kept, the one in the store is older")
+	EventTableRestored  = define(2433, zapcore.InfoLevel, "table of key ranges written again in a later era of the store")
+	EventTableRecovered = define(2434, zapcore.WarnLevel, "key ranges are assigned again, the newest table is not known")
+	EventBackendsFenced = define(2435, zapcore.InfoLevel, "no grant of an earlier era of the store is valid any more")
+)
