Write the table of key ranges again in a later era of the store

Cause: after the store returned from an older copy, every instance took the table in the copy for the newest one: keys returned to previous owners and fences were assigned again, which backends refuse. Change: a table that was written in an earlier era is applied only by an instance that has no newer one. If it knows that a newer table existed, it resigns.

--- a/internal/decide/keyrange/executor.go
+++ b/internal/decide/keyrange/executor.go
@@ -24,6 +24,8 @@
 	// TableReadTTL is the time after a coordinator's last successful read of the table by which its grants must end. It is
 	// longer than the store's outages, and it bounds the time that a successor waits for owners that it cannot reach.
 	TableReadTTL = 13 * time.Second
+	// PredecessorTTL is the time after a change of the coordinator by which the grants of its predecessors have expired.
+	PredecessorTTL = TableReadTTL + TableReadTTL/50 + maxCommandTime
 	// minGrantTTL is the shortest TTL that is worth granting.
 	minGrantTTL = time.Second
 	// maxCommandTime is the longest time from sending a command until its exchange has finished, with an answer or with the
@@ -100,7 +102,7 @@
 		timing:             timing,
 		ranges:             map[rangeID]*progress{},
 		confirmedAt:        confirmedAt,
-		unknownGrantsUntil: now + withDrift(TableReadTTL) + maxCommandTime,
+		unknownGrantsUntil: now + PredecessorTTL,
 	}
 }
 
--- a/internal/decide/keyrange/table.go
+++ b/internal/decide/keyrange/table.go
@@ -87,6 +87,26 @@
 	return c
 }
 
+// AssignAgain returns the table with the same owners under new fences, as if its keys had never been granted. Fence is the largest
+// one assigned so far.
+func (t *Table) AssignAgain(fence *uint64) Table {
+	again := Table{Service: t.Service, Ranges: slices.Clone(t.Ranges)}
+	for i := range again.Ranges {
+		*fence++
+		r := &again.Ranges[i]
+		r.Fence, r.PreviousOwner, r.Granted = *fence, Holder{}, false
+	}
+	return again
+}
+
+// OlderThan reports whether other was written after s, if both are versions of one table.
+func (s *State) OlderThan(other *State) bool {
+	if s.Term != other.Term {
+		return s.Term < other.Term
+	}
+	return s.LastFence < other.LastFence
+}
+
 // Clone returns a deep copy.
 func (s *State) Clone() *State {
 	c := *s
--- a/internal/service/keys/claim.go
+++ b/internal/service/keys/claim.go
@@ -40,6 +40,9 @@
 	if s.state != nil {
 		next = s.state.WithGranted(s.grantedFences)
 	}
+	if s.era.outdated {
+		next = s.recoveredState(next)
+	}
 	next.Coordinator = s.instance.ID
 	next.Term++
 	telemetry.EventCoordinatorClaim.Log(s.log, zap.Uint64("term", next.Term), zap.Duration("missing_for", now-s.missingAt),
@@ -141,11 +144,12 @@
 		s.nextRead = t.Now() // this write or that of another instance may have taken effect
 		return
 	}
-	if s.state != nil {
+	if s.state != nil && !s.era.outdated {
 		s.change = &service.TableChange{From: s.version, To: m.version, Delta: keyrange.Diff(s.state, m.state)}
 	}
 	s.version, s.seen = m.version, max(s.seen, m.version)
 	s.readAt = m.sent
+	s.tableRestored(m.state)
 	telemetry.EventTableWritten.Log(s.log, zap.Uint64("version", uint64(m.version)), zap.Uint64("term", m.state.Term),
 		zap.Uint64("last_fence", m.state.LastFence))
 	if s.coordinator == nil {
@@ -162,6 +166,7 @@
 		GrantTTL: min(defaultGrantTTL, s.instance.MaxGrantTTL), LongGrantTTL: s.instance.MaxGrantTTL, Renew: renewInterval, Retry: commandRetryDelay,
 	}
 	s.coordinator = newCoordinator(state.Term, timing, s.readAt, t.Now(), state)
+	s.coordinator.previous = s.era.replaced
 	s.chooseTTL()
 	s.counters.coordinating.Update(1)
 	telemetry.EventCoordinatorGained.Log(s.log, zap.Uint64("term", state.Term), zap.Uint64("version", uint64(s.version)))
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -21,6 +21,11 @@
 	contacts  map[keyrange.Holder]*backendContact
 	checks    map[string]*addressCheck // by address
 	roles     tableRoles
+	// previous is the table that a claim in a later era of the store has replaced by an empty one; nil if there is none.
+	previous *keyrange.State
+	// fenceUntil is when the grants of predecessors have expired. fenced means that all of them have expired or were dropped.
+	fenceUntil time.Duration
+	fenced     bool
 }
 
 // backendContact is what the results of commands have shown about a backend process.
@@ -57,6 +62,8 @@
 		lastFence: state.LastFence,
 		contacts:  map[keyrange.Holder]*backendContact{},
 		checks:    map[string]*addressCheck{},
+		// A predecessor that cannot be reached sends no grant that lasts longer than this.
+		fenceUntil: now + keyrange.PredecessorTTL,
 	}
 }
 
@@ -73,7 +80,7 @@
 func (s *Service) coordinate(t *kernel.Turn) {
 	now := t.Now()
 	s.updateAbsence(now)
-	if now >= s.coordinator.nextPlan && !s.writing && !s.reading && s.seen <= s.version {
+	if now >= s.coordinator.nextPlan && !s.writing && !s.reading && s.seen <= s.version && s.era.seen <= s.version.Era() {
 		s.plan(t)
 	}
 	s.checkSharedAddresses(t)
@@ -103,6 +110,13 @@
 // plan writes a new table if one is needed.
 func (s *Service) plan(t *kernel.Turn) {
 	c := s.coordinator
+	if s.era.outdated {
+		s.restoreTable(t)
+		return
+	}
+	if !s.earlierGrantsFenced(t) {
+		return
+	}
 	c.nextPlan = t.Now() + planInterval
 	next := s.state.Clone()
 	next.LastFence = max(next.LastFence, c.lastFence)
@@ -123,8 +137,9 @@
 
 func (s *Service) planService(next *keyrange.State, name entity.ServiceName, now time.Duration) bool {
 	table, ok := next.Table(name)
+	again := false
 	if !ok {
-		next.Tables = append(next.Tables, keyrange.Table{Service: name})
+		again = s.appendTable(next, name)
 		table = &next.Tables[len(next.Tables)-1]
 	}
 	marked := s.coordinator.executor.GrantedState(&keyrange.State{Tables: []keyrange.Table{*table}})
@@ -136,7 +151,7 @@
 	}
 	planned := keyrange.Plan(&marked.Tables[0], s.candidates(name, table, now), s.keyLoad.counts(), evidence, &next.LastFence)
 	if planned == nil {
-		return false
+		return again
 	}
 	*table = *planned
 	return true
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -24,6 +24,7 @@
 	mu          sync.Mutex
 	value       []byte
 	version     service.Version
+	outdated    bool // the value was written in an earlier era
 	unavailable bool
 	// loseReplies is the number of writes that take effect but whose answer is lost.
 	loseReplies int
@@ -38,7 +39,7 @@
 	if m.version == known {
 		return service.Document{Version: known}, nil
 	}
-	return service.Document{Value: m.value, Version: m.version}, nil
+	return service.Document{Value: m.value, Version: m.version, Outdated: m.outdated}, nil
 }
 
 func (m *memoryStore) Replace(_ context.Context, _ string, value []byte, known service.Version) (service.Version, error) {
@@ -51,7 +52,7 @@
 		return 0, service.ErrConflict
 	}
 	m.version++
-	m.value = value
+	m.value, m.outdated = value, false
 	if m.loseReplies > 0 {
 		m.loseReplies--
 		return 0, service.ErrStoreUnknown
@@ -65,6 +66,12 @@
 	return nil, nil
 }
 
+func (m *memoryStore) setUnavailable(unavailable bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unavailable = unavailable
+}
+
 // sentCommand is a command, the address and, if the backends have a clock, the time at which it arrived.
 type sentCommand struct {
 	keyrange.Command
@@ -138,7 +145,14 @@
 func (b *backends) RaiseFence(_ context.Context, to *catalog.Backend, fence uint64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.arrived = append(b.arrived, sentCommand{address: to.Address, Command: keyrange.Command{
+	if b.unresponsive[to.Address] {
+		return errors.New("no answer")
+	}
+	var at time.Duration
+	if b.clock != nil {
+		at = b.clock.Now()
+	}
+	b.arrived = append(b.arrived, sentCommand{address: to.Address, at: at, Command: keyrange.Command{
 		Kind: keyrange.KindRelease, To: catalog.KeySpace - 1, Fence: fence, Target: keyrange.Holder{ID: to.ID, Incarnation: to.Incarnation},
 	}})
 	return nil
@@ -260,9 +274,7 @@
 // setStoreUnavailable starts or ends an outage of the store.
 func (h *harness) setStoreUnavailable(unavailable bool) {
 	h.t.Helper()
-	h.store.mu.Lock()
-	h.store.unavailable = unavailable
-	h.store.mu.Unlock()
+	h.store.setUnavailable(unavailable)
 	h.deliver(service.StoreOutage{Unavailable: unavailable})
 }
 
--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -88,6 +88,7 @@
 	readAt         time.Duration
 	since          time.Duration
 	loaded         bool
+	era            eraState
 	reading        bool
 	nextRead       time.Duration
 	writing        bool
@@ -241,6 +242,8 @@
 		s.peerHeartbeat(t, m)
 	case service.KeysRequested:
 		s.keyLoad.add(m.Keys, m.At)
+	case service.StoreEraChanged:
+		s.storeEraChanged(t, m.Era)
 	case misdirected:
 		if m.version == s.version {
 			s.nextRead = min(s.nextRead, t.Now()+tick)
--- a/internal/service/keys/peers.go
+++ b/internal/service/keys/peers.go
@@ -50,6 +50,9 @@
 
 // observeVersion records that a peer has a version of the table.
 func (s *Service) observeVersion(version service.Version, now time.Duration) {
+	if version.Era() == s.version.Era() {
+		s.era.heard = max(s.era.heard, version)
+	}
 	if version <= s.seen {
 		return
 	}
@@ -61,7 +64,7 @@
 
 // applyChange applies a delta to the current table, which saves a read of the store.
 func (s *Service) applyChange(t *kernel.Turn, m service.PeerHeartbeat) {
-	if m.Change == nil || s.state == nil || m.Change.From != s.version || s.writing || s.coordinator != nil {
+	if m.Change == nil || s.state == nil || m.Change.From != s.version || s.writing || s.coordinator != nil || s.era.outdated {
 		return
 	}
 	state, ok := m.Change.Delta.Apply(s.state)
--- a/internal/service/keys/table.go
+++ b/internal/service/keys/table.go
@@ -21,7 +21,7 @@
 	if newer && s.loaded && s.coordinator == nil && now-s.seenAt < changeDelay {
 		return // wait for the delta from the coordinator
 	}
-	if !newer && s.loaded && s.confirmedByCoordinator(now) {
+	if !newer && s.era.seen <= s.version.Era() && s.loaded && s.confirmedByCoordinator(now) {
 		return
 	}
 	s.reading = true
@@ -62,6 +62,10 @@
 
 // installRemote installs a table that was read from the store, if it is newer than the current one.
 func (s *Service) installRemote(t *kernel.Turn, d service.Document) {
+	if d.Version > s.version && (d.Outdated || (d.Value == nil && d.Version.Era() > s.version.Era())) {
+		s.keepTable(t, d)
+		return
+	}
 	if d.Version <= s.version || d.Value == nil {
 		s.seen = max(s.version, d.Version)
 		return
@@ -72,6 +76,10 @@
 		return
 	}
 	s.version, s.seen = d.Version, max(s.seen, d.Version)
+	s.era.outdated = false
+	if state.Coordinator != s.instance.ID {
+		s.era.replaced = nil
+	}
 	telemetry.EventTableRead.Log(s.log, zap.Uint64("version", uint64(d.Version)), zap.String("coordinator", string(state.Coordinator)),
 		zap.Uint64("term", state.Term), zap.Uint64("last_fence", state.LastFence))
 	s.updateRole(t, state)
