Register instances again in a later era of the store

Cause: registrations that were written after the copy are lost, and an instance registered only when it started. Change: an instance registers itself and reads the list again when it sees a new era. A test runs two instances whose store returns twice from a copy that lacks a newer configuration, a backend and the leaving of another one. The test fails without the registration and without the era in the feed.

--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -270,7 +270,7 @@
 			s.broadcast()
 		}
 		s.keys.Change = nil
-	case retryRegister:
+	case retryRegister, service.StoreEraChanged:
 		s.register(t)
 	case leave:
 		s.leaving = true
