Move no ranges while a lost table may have granted them

Cause: an instance that became coordinator in the lost time, without the earlier coordinator having heard of it, may have moved ranges. The earlier one wrote its own table again and could move them a second time while the other's grants were valid, and never gave an owner to those whose former owner refused the renewal. Result: with the rule taken out the test shows the second move; without the claim the moved keys stay without an owner.

--- a/internal/service/keys/commands.go
+++ b/internal/service/keys/commands.go
@@ -161,6 +161,7 @@
 	}
 	if c.executor.Fenced() {
 		s.nextRead = t.Now()
+		s.era.refused = true
 	}
 	if len(s.grantedFences) != grantedBefore {
 		s.publish(t)
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -83,6 +83,9 @@
 	if now >= s.coordinator.nextPlan && !s.writing && !s.reading && s.seen <= s.version && s.era.seen <= s.version.Era() {
 		s.plan(t)
 	}
+	if s.coordinator == nil {
+		return // plan has found that the table cannot be trusted
+	}
 	s.checkSharedAddresses(t)
 	s.checkLostBackends(t)
 	s.fenceSuccessors(t)
@@ -114,7 +117,7 @@
 		s.restoreTable(t)
 		return
 	}
-	if !s.earlierGrantsFenced(t) {
+	if s.inDoubt(t.Now()) || !s.earlierGrantsFenced(t) {
 		return
 	}
 	c.nextPlan = t.Now() + planInterval
--- a/internal/service/keys/era.go
+++ b/internal/service/keys/era.go
@@ -21,6 +21,9 @@
 // missing records as long.
 const recordsWritten = 2200 * time.Millisecond
 
+// unheardTTL is how long after its last heartbeat a peer counts as one that may have become coordinator without being heard.
+const unheardTTL = 30 * time.Second
+
 // eraState is what this instance knows of returns of the store from an older copy.
 type eraState struct {
 	seen   uint64        // highest era that the store has stated
@@ -31,6 +34,10 @@
 	heard service.Version
 	// lastFence is the largest fence in the tables of the store that were not applied.
 	lastFence uint64
+	// doubtUntil is when the grants of a coordinator that may have replaced this one in the lost time have expired; zero if there can be
+	// none. refused means that a backend has refused a grant since.
+	doubtUntil time.Duration
+	refused    bool
 	// replaced is the table that this instance had when it claimed the role with an empty one.
 	replaced *keyrange.State
 }
@@ -64,6 +71,9 @@
 	if lost && s.coordinator != nil {
 		s.resign("a newer table of an earlier era of the store is not known here")
 	}
+	if s.coordinator != nil {
+		s.coordinator.nextPlan = t.Now() + planInterval // a newer coordinator is heard in this time
+	}
 	if newer {
 		s.install(t, stored)
 		return
@@ -71,6 +81,35 @@
 	s.publish(t)
 }
 
+// mayHaveBeenReplaced reports whether a peer that is no longer heard may have become coordinator in the lost time.
+func (s *Service) mayHaveBeenReplaced(now time.Duration) bool {
+	for _, p := range s.peers {
+		if silent := now - p.at; !p.leaving && silent > coordinatorTimeout && silent < unheardTTL {
+			return true
+		}
+	}
+	return false
+}
+
+// inDoubt reports whether ranges must stay where they are, because a coordinator that replaced this one in the lost time may have
+// moved some and granted them: their former owners refuse renewals. If one has, all keys are assigned again when those grants have
+// expired.
+func (s *Service) inDoubt(now time.Duration) bool {
+	if s.era.doubtUntil == 0 {
+		return false
+	}
+	if now < s.era.doubtUntil {
+		return true
+	}
+	s.era.doubtUntil = 0
+	if !s.era.refused {
+		return false
+	}
+	s.era.outdated = true
+	s.resign("ranges were moved by a table that the store has lost")
+	return true
+}
+
 // restoreTable writes the coordinator's own table again. Its next fences are above all that any instance can have assigned.
 func (s *Service) restoreTable(t *kernel.Turn) {
 	c := s.coordinator
@@ -78,6 +117,10 @@
 	next := c.executor.GrantedState(s.state)
 	next.LastFence = max(next.LastFence, c.lastFence, s.era.lastFence) + fenceGap
 	c.lastFence = next.LastFence
+	s.era.doubtUntil, s.era.refused = 0, false
+	if s.mayHaveBeenReplaced(t.Now()) {
+		s.era.doubtUntil = t.Now() + keyrange.PredecessorTTL
+	}
 	s.writeTable(t, next)
 }
 
--- a/internal/service/keys/era_test.go
+++ b/internal/service/keys/era_test.go
@@ -174,7 +174,7 @@
 	d.requireOneOwner()
 }
 
-const thirdAddress = "10.0.0.3:1"
+const thirdAddress, fourthAddress = "10.0.0.3:1", "10.0.0.4:1"
 
 // advance lets the given time pass.
 func (d *eras) advance(by time.Duration) {
@@ -284,6 +284,41 @@
 	}
 }
 
+// Guards against two owners when another instance has become coordinator and moved keys in the lost time, and the first coordinator
+// has not heard of it: it must move nothing until the other's grants have expired, and then give the keys that were moved an owner.
+func TestCoordinatorThatWasReplacedInTheLostTimeMovesNothing(t *testing.T) {
+	for name, moves := range map[string]bool{"has moves to make": true, "has none": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newEras(t)
+			lost := &memoryStore{value: d.store.copy().value, version: d.store.copy().version}
+			replacement := newHarnessWithClock(t, "two", lost, d.targets, d.clock)
+			d.deliver(service.PeerHeartbeat{Instance: "two", Zone: "a", StoreReachable: true, At: d.clock.Now()})
+			leaving := backend("e2", otherAddress, 1)
+			leaving.Draining = true
+			replacement.list(leaving, backend("e3", thirdAddress, 1))
+			advanceUntil(t, d.clock, 10*time.Second, func() bool { return len(d.targets.grantsAt(thirdAddress, 0, 0)) >= rangesPerBackend })
+			lost.setUnavailable(true)
+
+			returned := d.targets.count()
+			d.deliver(service.StoreEraChanged{Era: d.store.returnFrom(d.copy)})
+			next := otherAddress
+			d.list(backend("e2", otherAddress, 1))
+			if moves {
+				next = fourthAddress
+				d.list(leaving, backend("e4", fourthAddress, 1))
+			}
+			movedBack := func() []sentCommand {
+				return overlapping(d.targets.grantsAt(next, returned, 0), d.targets.grantsAt(thirdAddress, 0, 0))
+			}
+			d.advance(10 * time.Second)
+			require.Empty(t, movedBack(), "keys are granted while another coordinator's grants may be valid")
+			advanceUntil(t, d.clock, 20*time.Second, func() bool { return len(movedBack()) >= rangesPerBackend })
+			d.waitOwned(d.harness, 5*time.Second)
+			d.requireOneOwner()
+		})
+	}
+}
+
 // Guards against two owners when the record of a backend that has grants was lost with the store's writes: an instance that has never
 // read it does not know the backend until it writes its record again.
 func TestSuccessorWaitsForTheRecordsOfBackends(t *testing.T) {
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -133,6 +134,9 @@
 	if o.Kind == keyrange.KindRelease && to.Address == b.unreleased {
 		return keyrange.Result{Command: o, Outcome: keyrange.NoAnswer}
 	}
+	if o.Kind == keyrange.KindGrant && b.refuses(o, to.Address) {
+		return keyrange.Result{Command: o, Outcome: keyrange.Refused}
+	}
 	var at time.Duration
 	if b.clock != nil {
 		at = b.clock.Now()
@@ -141,6 +145,13 @@
 	return keyrange.Result{Command: o, Outcome: keyrange.Done, Handover: "warm", Leaving: to.Address == b.leaving}
 }
 
+// refuses reports whether the backend at an address has seen a higher fence for a key of a grant. The caller holds the lock.
+func (b *backends) refuses(o keyrange.Command, address string) bool {
+	return slices.ContainsFunc(b.arrived, func(c sentCommand) bool {
+		return c.address == address && c.Target == o.Target && c.Fence > o.Fence && c.From <= o.To && o.From <= c.To
+	})
+}
+
 // RaiseFence records the release of all keys.
 func (b *backends) RaiseFence(_ context.Context, to *catalog.Backend, fence uint64) error {
 	b.mu.Lock()
