Confirm no table by reading the store's older copy

Cause: the model of returns of the store (model/eras.pml) found two ways to two owners. A coordinator confirmed its table, and with it its grants, by reading the copy, while another one held its own table at the same version. And a coordinator that may have been replaced in the lost time wrote its table again at once; the next coordinator relied on it, although a lost table had granted the range elsewhere. Change: reads of an outdated table do not extend grants. A coordinator whose last confirmation is too old resigns. The new test fails if a read of the copy confirms the table. go test -race ./internal/service/keys passes.

--- a/internal/decide/keyrange/executor.go
+++ b/internal/decide/keyrange/executor.go
@@ -118,6 +118,9 @@
 // ConfirmTable records a time at which the table was known to be the newest.
 func (e *Executor) ConfirmTable(at time.Duration) { e.confirmedAt = max(e.confirmedAt, at) }
 
+// IsConfirmed reports whether no successor can rely yet on the end of the grants.
+func (e *Executor) IsConfirmed(now time.Duration) bool { return now-e.confirmedAt <= TableReadTTL }
+
 // grantTTL returns the TTL of the next grants. They end within TableReadTTL of the last confirmation of the table, because a
 // successor relies on that.
 func (e *Executor) grantTTL(now time.Duration) time.Duration {
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -84,12 +84,14 @@
 		s.plan(t)
 	}
 	if s.coordinator == nil {
-		return // plan has found that the table cannot be trusted
+		return // plan has found that its table is not the newest
 	}
 	s.checkSharedAddresses(t)
 	s.checkLostBackends(t)
 	s.fenceSuccessors(t)
-	s.coordinator.executor.ConfirmTable(s.readAt)
+	if !s.era.outdated { // another coordinator may hold its own table at the same version
+		s.coordinator.executor.ConfirmTable(s.readAt)
+	}
 	if now-s.readAt > keyrange.TableReadTTL {
 		telemetry.EventRenewalsPaused.Log(s.log, zap.Duration("confirmed_ago", now-s.readAt))
 		s.resign("the table was not confirmed for too long")
@@ -114,10 +116,12 @@
 func (s *Service) plan(t *kernel.Turn) {
 	c := s.coordinator
 	if s.era.outdated {
-		s.restoreTable(t)
+		if !s.inDoubt(t.Now()) {
+			s.restoreTable(t)
+		}
 		return
 	}
-	if s.inDoubt(t.Now()) || !s.earlierGrantsFenced(t) {
+	if !s.earlierGrantsFenced(t) {
 		return
 	}
 	c.nextPlan = t.Now() + planInterval
--- a/internal/service/keys/era.go
+++ b/internal/service/keys/era.go
@@ -35,9 +35,9 @@
 	// lastFence is the largest fence in the tables of the store that were not applied.
 	lastFence uint64
 	// doubtUntil is when the grants of a coordinator that may have replaced this one in the lost time have expired; zero if there can be
-	// none. refused means that a backend has refused a grant since.
+	// none.
 	doubtUntil time.Duration
-	refused    bool
+	refused    bool // a backend has refused a grant since the table was last read or written in the current era
 	// replaced is the table that this instance had when it claimed the role with an empty one.
 	replaced *keyrange.State
 }
@@ -63,7 +63,7 @@
 		}
 	}
 	newer := s.state == nil || s.state.OlderThan(stored)
-	lost := newer || s.era.heard > s.version
+	lost := newer || s.era.heard > s.version || (s.coordinator != nil && !s.coordinator.executor.IsConfirmed(t.Now()))
 	s.version, s.seen = d.Version, max(s.seen, d.Version)
 	s.era.outdated, s.era.heard, s.era.lastFence = true, 0, max(s.era.lastFence, stored.LastFence)
 	telemetry.EventTableKept.Log(s.log, zap.Uint64("version", uint64(d.Version)), zap.Uint64("stored_fence", stored.LastFence),
@@ -73,6 +73,10 @@
 	}
 	if s.coordinator != nil {
 		s.coordinator.nextPlan = t.Now() + planInterval // a newer coordinator is heard in this time
+		s.era.doubtUntil = 0
+		if s.mayHaveBeenReplaced(t.Now()) {
+			s.era.doubtUntil = t.Now() + keyrange.PredecessorTTL
+		}
 	}
 	if newer {
 		s.install(t, stored)
@@ -91,23 +95,17 @@
 	return false
 }
 
-// inDoubt reports whether ranges must stay where they are, because a coordinator that replaced this one in the lost time may have
-// moved some and granted them: their former owners refuse renewals. If one has, all keys are assigned again when those grants have
-// expired.
+// inDoubt reports whether the table must not be written again yet, because a coordinator that replaced this one in the lost time may
+// have moved ranges and granted them: a successor would rely on the table. The former owners of such ranges refuse renewals. If one
+// has done so, the coordinator resigns when those grants have expired, and all keys are assigned again.
 func (s *Service) inDoubt(now time.Duration) bool {
-	if s.era.doubtUntil == 0 {
-		return false
+	if s.era.doubtUntil == 0 || now < s.era.doubtUntil {
+		return s.era.doubtUntil > 0
 	}
-	if now < s.era.doubtUntil {
-		return true
+	if s.era.refused {
+		s.resign("ranges were moved by a table that the store has lost")
 	}
-	s.era.doubtUntil = 0
-	if !s.era.refused {
-		return false
-	}
-	s.era.outdated = true
-	s.resign("ranges were moved by a table that the store has lost")
-	return true
+	return s.era.refused
 }
 
 // restoreTable writes the coordinator's own table again. Its next fences are above all that any instance can have assigned.
@@ -117,10 +115,6 @@
 	next := c.executor.GrantedState(s.state)
 	next.LastFence = max(next.LastFence, c.lastFence, s.era.lastFence) + fenceGap
 	c.lastFence = next.LastFence
-	s.era.doubtUntil, s.era.refused = 0, false
-	if s.mayHaveBeenReplaced(t.Now()) {
-		s.era.doubtUntil = t.Now() + keyrange.PredecessorTTL
-	}
 	s.writeTable(t, next)
 }
 
@@ -133,10 +127,11 @@
 
 // tableRestored records that the table was written, and logs it if this was the first time in an era.
 func (s *Service) tableRestored(state *keyrange.State) {
+	s.era.refused = false
 	if !s.era.outdated {
 		return
 	}
-	s.era.outdated = false
+	s.era.outdated, s.era.doubtUntil = false, 0
 	if len(state.Tables) == 0 {
 		telemetry.EventTableRecovered.Log(s.log, zap.Uint64("term", state.Term), zap.Uint64("last_fence", state.LastFence))
 		return
--- a/internal/service/keys/era_test.go
+++ b/internal/service/keys/era_test.go
@@ -319,6 +319,27 @@
 	}
 }
 
+// Guards against a coordinator that never writes its table again, or gives up its role, because a peer has ended before the store
+// returned: the peer might have become coordinator, but has not.
+func TestCoordinatorStaysIfNobodyHasReplacedIt(t *testing.T) {
+	d := newEras(t)
+	d.deliver(service.PeerHeartbeat{Instance: "two", Zone: "a", StoreReachable: true, At: d.clock.Now()})
+	d.advance(3 * time.Second)
+	term, before, since := d.keys.KeyView().State.Term, d.targets.count(), d.clock.Now()
+	d.deliver(service.StoreEraChanged{Era: d.store.returnFrom(d.copy)})
+	d.advance(10 * time.Second)
+	require.True(t, d.store.isOutdated(), "a successor would rely on the table")
+	for _, g := range d.targets.grantsAt(otherAddress, before, 0) {
+		require.LessOrEqual(t, g.at+g.TTL, since+keyrange.TableReadTTL, "a read of the copy does not confirm the table")
+	}
+	advanceUntil(t, d.clock, 8*time.Second, func() bool { return !d.store.isOutdated() })
+	returned := d.targets.count()
+	renewed := func() bool { return len(d.targets.grantsAt(otherAddress, returned, 0)) >= 2*rangesPerBackend }
+	advanceUntil(t, d.clock, 2*time.Second, renewed)
+	require.Equal(t, term, d.keys.KeyView().State.Term)
+	d.requireOneOwner()
+}
+
 // Guards against two owners when the record of a backend that has grants was lost with the store's writes: an instance that has never
 // read it does not know the backend until it writes its record again.
 func TestSuccessorWaitsForTheRecordsOfBackends(t *testing.T) {
--- a/internal/service/keys/table.go
+++ b/internal/service/keys/table.go
@@ -58,6 +58,9 @@
 	}
 	s.readAt, s.loaded = m.sent, true
 	s.installRemote(t, m.document)
+	if !s.era.outdated {
+		s.era.refused = false
+	}
 }
 
 // installRemote installs a table that was read from the store, if it is newer than the current one.
