--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -286,7 +286,7 @@
 		s.keys.Change = nil
 	case service.RolloutChanged:
 		s.broadcast()
-	case retryRegister:
+	case retryRegister, service.StoreEraChanged:
 		s.register(t)
 	case leave:
 		s.leaving = true
