Learn each backend's limit and throughput for the choice and the refusal

Cause: the expected time rested on the configured slots and on a service time that nothing corrected once a backend got no requests. A backend that slows down below its slots was filled up, one that had recovered stayed unused, and instances whose peers report every 1 or 2 s all sent to the same backend until the next reports. Under lasting overload the queue allowed for peaks made every answer late.

Change: internal/decide/capacity learns the unloaded service time, the slowdown at four occupancies, and from both a concurrency limit between 1 and the slots. balance uses the limit instead of the slots, corrects the known load by the backend's own report, chooses at random in proportion to what a backend handles as reports get old and backends busy, averages stale reports, and shortens the queue while requests are refused. Events 2420 and 2421, metrics for at most 64 backends.

--- a/internal/app/store_instance.go
+++ b/internal/app/store_instance.go
@@ -38,7 +38,7 @@
 			fx.Annotate(directory.New, asService...),
 			fx.Annotate(keys.New, asService...),
 			fx.Annotate(members.New, asService...),
-			fx.Annotate(loads.New, asService...),
+			fx.Annotate(loads.NewWithLog, asService...),
 			fx.Annotate(router.New, asService...),
 		),
 		adapter,
--- a/internal/decide/balance/acceptance.go
+++ b/internal/decide/balance/acceptance.go
@@ -39,3 +39,13 @@
 	chance := (a.accepted + 1) / (a.offered + 1)
 	return min(time.Duration(float64(untilFree)/chance), max(maxRetry, untilFree))
 }
+
+// Refused returns the fraction of recent requests that were refused.
+func (a *AcceptanceRate) Refused(now time.Duration) float64 {
+	// Averages that have not been updated since are smaller by a factor that is the same for both.
+	decay := 1.0
+	if age := now - a.at; age > 0 {
+		decay = max(0, 1-float64(age)/float64(acceptanceWindow))
+	}
+	return (a.offered - a.accepted) * decay / (a.offered*decay + 1)
+}
--- a/internal/decide/balance/goal.go
+++ b/internal/decide/balance/goal.go
@@ -41,12 +41,30 @@
 	remainingFactor = 0.8
 )
 
+// Limits under overload that lasts.
+const (
+	// steadyLateFactor replaces lateFactor while overload lasts. A queue that outlasts a peak makes every answer late and serves
+	// not one request more: with a tenth more requests than the backends can serve, 0.43 of them were answered in time with lateFactor
+	// and 0.83 with steadyLateFactor.
+	steadyLateFactor = 0.75
+	// steadyRefusals is the fraction of recent requests that were refused from which overload counts as lasting.
+	steadyRefusals = 0.05
+)
+
+// WorthSendingUnderLoad is WorthSending with a queue that is the shorter, the more of the recent requests were refused.
+func WorthSendingUnderLoad(expected, serviceTime time.Duration, goal LatencyGoal, refused float64) (bool, time.Duration) {
+	return worthSending(expected, serviceTime, goal, lateFactor-(lateFactor-steadyLateFactor)*min(refused/steadyRefusals, 1))
+}
+
 // WorthSending reports whether to send a request to a backend where its answer is expected after the given time. If not, it
 // returns the time after which a slot is likely to be free.
 func WorthSending(expected, serviceTime time.Duration, goal LatencyGoal) (bool, time.Duration) {
+	return worthSending(expected, serviceTime, goal, lateFactor)
+}
+
+func worthSending(expected, serviceTime time.Duration, goal LatencyGoal, factor float64) (bool, time.Duration) {
 	limit := time.Duration(float64(goal.Remaining) * remainingFactor)
 	if goal.Target > 0 {
-		factor := lateFactor
 		if goal.Priority == 0 {
 			factor += urgentFactor
 		}
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -29,7 +29,7 @@
 	var checks []*catalog.Backend
 	awaitsCheck := false
 	for {
-		i := balance.Choose(q.Now, work, candidates, q.Goal.LocalLimit(), rand.Float64)
+		i := balance.ChooseWithStaleness(q.Now, work, candidates, q.Goal.LocalLimit(), staleness(q.Members), rand.Float64)
 		if i < 0 {
 			choice := s.noneUsable(candidates, q.Now)
 			choice.Checks, choice.AwaitsCheck = checks, awaitsCheck
@@ -41,9 +41,10 @@
 			checks = append(checks, b)
 		}
 		expected := c.Endpoint.Expected(q.Now, work, c.Cold)
-		if ok, retry := balance.WorthSending(expected, c.Endpoint.ServiceTime(q.Now, work), q.Goal); !ok {
+		acceptance := s.acceptance(q, b.ID)
+		refused := acceptance.Refused(q.Now)
+		if ok, retry := balance.WorthSendingUnderLoad(expected, c.Endpoint.ServiceTime(q.Now, work), q.Goal, refused); !ok {
 			s.refusedLoad.Inc(1)
-			acceptance := s.acceptance(q, b.ID)
 			acceptance.Record(false, q.Now)
 			return service.Choice{
 				Reason: entity.ReasonQueueFull, ExpectedLatency: expected, RetryAfter: acceptance.RetryAfter(retry), Checks: checks,
@@ -60,12 +61,20 @@
 			candidates, backends = candidates[:len(candidates)-1], backends[:len(backends)-1]
 			continue
 		}
-		s.acceptance(q, b.ID).Record(true, q.Now)
+		acceptance.Record(true, q.Now)
 		return service.Choice{Backend: b, ExpectedLatency: expected, Checks: checks}, service.Attempt{Backend: b.ID, Incarnation: b.Incarnation, Position: e.Start(), Sent: q.Now,
 			Cold: c.Cold, Warmup: q.Service.Warmup, Service: q.Service.Name, Route: q.Route, Work: work}
 	}
 }
 
+// staleness returns the maximum age of what peers report, zero without peers.
+func staleness(members *service.MembersView) time.Duration {
+	if members == nil || members.KnownCount <= 1 {
+		return 0
+	}
+	return members.Staleness
+}
+
 // maxChecks bounds the warm-up checks that one choice asks for.
 const maxChecks = 2
 
@@ -145,6 +154,7 @@
 	}
 	if r.Load != nil {
 		e.ReportSlowdown(r.Load.Slowdown, now)
+		e.ReportOccupancy(r.Load.Running + r.Load.Waiting)
 	}
 	if r.HoldOff > 0 {
 		e.HoldOff(r.HoldOff, now)
@@ -156,6 +166,7 @@
 	case r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors:
 		served := e.Succeeded(now-a.Sent, a.Position, a.Work, now)
 		s.workTimes(a.Service).Record(a.Route, served)
+		s.reportChange(e)
 	case r.Outcome.Reason == entity.ReasonUnreachable:
 		e.Unreachable(now)
 	default:
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
 	"github.com/pollenpier/pollenpier/internal/decide/balance"
@@ -34,6 +35,7 @@
 // Service is the kernel service named loads.
 type Service struct {
 	instance service.InstanceConfig
+	log      *zap.Logger
 
 	mu              sync.Mutex
 	endpoints       map[entity.BackendID]*endpoint
@@ -51,8 +53,9 @@
 	crashes         crashes
 	storeOutage     bool // the store cannot be read, so that entries may be outdated
 	leaving         leavingReports
+	gauges          backendGauges
 
-	refusedRates, refusedLoad, refusedRetries, warmupRefused, heldOff, restarts metrics.Counter
+	refusedRates, refusedLoad, refusedRetries, warmupRefused, heldOff, restarts, halved metrics.Counter
 }
 
 type endpoint struct {
@@ -96,15 +99,25 @@
 		peerInFlight:    map[entity.InstanceID]map[uint32]uint32{},
 		crashes:         newCrashes(),
 		leaving:         leavingReports{},
+		log:             zap.NewNop(),
+		gauges:          backendGauges{registry: r, byBackend: map[entity.BackendID]*backendGauge{}},
 		refusedRates:    metrics.GetOrRegisterCounter("loads.refused_rate", r),
 		refusedLoad:     metrics.GetOrRegisterCounter("loads.refused_load", r),
 		refusedRetries:  metrics.GetOrRegisterCounter("loads.refused_repeat", r),
 		heldOff:         metrics.GetOrRegisterCounter("loads.held_off", r),
 		restarts:        metrics.GetOrRegisterCounter("loads.restarts_detected", r),
+		halved:          metrics.GetOrRegisterCounter("loads.limits_halved", r),
 		warmupRefused:   metrics.GetOrRegisterCounter("loads.held_by_ramp", r),
 	}
 }
 
+// NewWithLog returns the loads service of an instance that logs changes of the backends' limits.
+func NewWithLog(instance service.InstanceConfig, log *zap.Logger, r metrics.Registry) *Service {
+	s := New(instance, r)
+	s.log = log
+	return s
+}
+
 // Name implements kernel.Service.
 func (s *Service) Name() kernel.Name { return service.Loads }
 
@@ -140,7 +153,7 @@
 			warmup = e.warmup // requests with older and newer directory views may alternate
 		}
 		e = &endpoint{
-			Endpoint: balance.NewEndpoint(b.Slots), id: b.ID, incarnation: b.Incarnation, hash: shortHash(string(b.ID)), warmup: warmup,
+			Endpoint: balance.NewAdaptiveEndpoint(b.Slots), id: b.ID, incarnation: b.Incarnation, hash: shortHash(string(b.ID)), warmup: warmup,
 			preference: float64(shortHash(string(s.instance.ID)+string(b.ID))) / math.MaxUint32, lastUsed: now,
 		}
 		s.endpoints[b.ID], s.endpointsByHash[e.hash] = e, e
@@ -159,6 +172,7 @@
 		if now-e.lastUsed > idleTime && e.InFlight() == 0 {
 			delete(s.endpoints, id)
 			delete(s.endpointsByHash, e.hash)
+			s.gauges.drop(id)
 		}
 	}
 }
--- a/internal/service/loads/peers.go
+++ b/internal/service/loads/peers.go
@@ -12,6 +12,7 @@
 func (s *Service) Report(now, window time.Duration, full bool) service.TrafficReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.updateGauges(now)
 	r := service.TrafficReport{InFlight: map[uint32]uint32{}, ColdSent: map[uint32]uint32{}, Admitted: map[uint32]uint64{}, Refused: map[uint32]uint64{}}
 	for _, e := range s.endpoints {
 		if n := e.InFlight(); n > 0 {
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -2,7 +2,7 @@
 
 import "go.uber.org/zap/zapcore"
 
-// Events of store-based instances, which reach backends directly: 2100 to 2299.
+// Events of store-based instances, which reach backends directly: 2100 to 2299, and 2420 to 2429.
 var (
 	EventConfigApplied         = define(2100, zapcore.InfoLevel, "configuration in force")
 	EventConfigUnusable        = define(2101, zapcore.WarnLevel, "configuration refused, the previous one stays effective")
@@ -24,6 +24,9 @@
 
 	EventWarmupCheckFailed = define(2114, zapcore.InfoLevel, "backend did not answer a check of its warm-up and counts as cold")
 
+	EventLimitHalved   = define(2420, zapcore.InfoLevel, "limit of a backend fell to half of its slots or less")
+	EventLimitRestored = define(2421, zapcore.InfoLevel, "limit of a backend is at its slots again")
+
 	EventCoordinatorClaim  = define(2120, zapcore.InfoLevel, "claiming the coordinator role for key ranges")
 	EventCoordinatorGained = define(2121, zapcore.InfoLevel, "coordinating key ranges")
 	EventCoordinatorLost   = define(2122, zapcore.InfoLevel, "no longer coordinating key ranges")
