Give slow backends fewer keys by learned throughput

Cause: ranges were dealt out evenly and moved only from an owner with more than 1.5 times its fair share of the requests, so a slow backend kept as many keys as a fast one. The speeds behind the fair share were means of a few requests, by which equal backends differ by a quarter.

The first assignment deals ranges out by capacity; a plan that moves nothing else moves at most 2 ranges from a slow or to a fast backend, until their keys per capacity differ by less than a quarter. Backends of equal speed get the same ranges as before. An overloaded owner (1.5 times its share) is relieved as before, by up to 24 ranges.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -143,15 +143,6 @@
 	return time.Duration(float64(unloaded) * work.factor())
 }
 
-// minMeasurements is the number of measurements from which the service time counts as known.
-const minMeasurements = 4
-
-// MeasuredServiceTime returns the service time without queueing and at no slowdown. It reports false if there are too few
-// measurements.
-func (e *Endpoint) MeasuredServiceTime() (time.Duration, bool) {
-	return e.serviceTime, e.measured >= minMeasurements
-}
-
 // Capacity returns the learned capacity; nil if it is not learned.
 func (e *Endpoint) Capacity() *capacity.Estimator {
 	if !e.adaptive {
--- a/internal/decide/balance/work.go
+++ b/internal/decide/balance/work.go
@@ -6,6 +6,9 @@
 // measurements of a route come from backends of different speeds.
 const routeLearnRate = 0.05
 
+// minMeasurements is the number of measurements from which the mean work of a service or a route counts as known.
+const minMeasurements = 4
+
 // Work is how much work a request is. The zero value is the work of a request of which nothing is known.
 type Work struct {
 	// Factor is the work relative to the mean of its service; zero counts as 1.
--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -10,7 +10,7 @@
 	serviceRate = 0.2
 	// curveRate is the weight of a new measurement at one occupancy. It is lower than serviceRate, since a limit that follows the
 	// spread of single requests would vary between equal backends.
-	curveRate = 0.05
+	curveRate = 0.08
 	// priorSamples is the number of measurements that the assumption of no slowdown counts as.
 	priorSamples = 4
 	// trustSamples is the number of recent measurements of the idle backend at which half of a deviation is attributed to the limit.
@@ -58,6 +58,7 @@
 	longTerm  float64 // the same, averaged over longTerm
 	mean      float64 // service time of all backends of the service, in ns, zero if unknown
 	meanLimit float64 // limit, averaged over longTerm
+	doubtful  bool    // the service time is doubted until the next answer
 	halved    bool
 	measured  int
 	curve     [levels]float64       // service time at each occupancy relative to service
@@ -113,6 +114,11 @@
 		e.counts[level]++
 		step := trust * max(curveRate, 1/(e.counts[level]+priorSamples))
 		e.curve[level] = max(1, e.curve[level]+step*(min(observed/e.service, maxRatio)-e.curve[level]))
+		if e.counts[level] >= priorSamples {
+			for i := range level { // a backend that is fast with more requests is no slower with fewer
+				e.curve[i] = min(e.curve[i], e.curve[level])
+			}
+		}
 		e.setLimit()
 	}
 	e.seen[level] = now
@@ -124,7 +130,7 @@
 	e.longTerm += weight * (unloaded - e.longTerm)
 	e.meanLimit += weight * (e.limit - e.meanLimit)
 	e.measured++
-	e.answered = now
+	e.answered, e.doubtful = now, false
 	return time.Duration(unloaded)
 }
 
@@ -152,7 +158,9 @@
 	if steps <= 0 {
 		return
 	}
-	quiet := now-e.answered > silence && e.service > spikeFactor*e.mean
+	if now-e.answered > silence && e.service > spikeFactor*e.mean {
+		e.doubtful = true
+	}
 	for range steps {
 		for i := range levels {
 			if now-e.seen[i] > curveSilence {
@@ -160,7 +168,7 @@
 				e.counts[i] *= curveDecay
 			}
 		}
-		if quiet && e.mean > 0 && e.service > doubted*e.mean {
+		if e.doubtful && e.mean > 0 && e.service > doubted*e.mean {
 			e.service = doubted*e.mean + (e.service-doubted*e.mean)*spikeDecay
 		}
 	}
--- a/internal/decide/keyrange/plan.go
+++ b/internal/decide/keyrange/plan.go
@@ -15,6 +15,8 @@
 	Zone entity.Zone
 	// Capacity is the expected number of requests per second that the backend can serve, relative to the other candidates.
 	Capacity float64
+	// Slots is the capacity that a backend of mean speed with its slots would have; zero if its speed is not known.
+	Slots int
 	// Usable backends may be assigned keys. The others lose their keys, unless Keep is set.
 	Usable bool
 	// Keep means that the backend is unreachable and may still have valid grants, so that no other backend could serve its
@@ -47,6 +49,10 @@
 	minMovedRequests = 6
 	// maxMovesPerPlan bounds the number of ranges that one plan moves to balance the load.
 	maxMovesPerPlan = 24
+	// maxSpeedMoves bounds the number of ranges that one plan moves because backends differ in speed. Nothing is overloaded then.
+	maxSpeedMoves = 2
+	// uneven is the ratio between the keys of two backends, relative to their capacities, from which a range is moved.
+	uneven = 1.25
 )
 
 // Evidence is what a plan needs to know of the grants that were sent.
@@ -88,6 +94,7 @@
 	}
 	p.evict(loads)
 	p.spread(keyLoad)
+	p.adjustToSpeeds(loads, keyLoad)
 	if !p.changed {
 		return nil
 	}
@@ -116,15 +123,24 @@
 	return p
 }
 
-// assignInitial divides the key space among the usable backends. Neighbouring ranges go to different backends.
+// assignInitial divides the key space among the usable backends in proportion to their capacities. Neighbouring ranges go to different backends.
 func (p *planner) assignInitial() {
 	n := len(p.usable)
 	count := min(max(min(n*initialRangesPerBackend, initialRanges), n), maxRanges)
+	owed := make([]float64, n)
 	for i := range count {
+		next := 0
+		for j, c := range p.usable {
+			owed[j] += c.Capacity
+			if owed[j] > owed[next] {
+				next = j
+			}
+		}
+		owed[next] -= p.capacity()
 		from := uint32(i * catalog.KeySpace / count)
 		to := uint32((i+1)*catalog.KeySpace/count) - 1
 		*p.fence++
-		p.table.Ranges = append(p.table.Ranges, Range{From: from, To: to, Owner: p.usable[i%len(p.usable)].Holder, Fence: *p.fence})
+		p.table.Ranges = append(p.table.Ranges, Range{From: from, To: to, Owner: p.usable[next].Holder, Fence: *p.fence})
 	}
 }
 
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -5,7 +5,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pollenpier/pollenpier/internal/decide/balance"
+	"github.com/pollenpier/pollenpier/internal/decide/capacity"
 	"github.com/pollenpier/pollenpier/internal/decide/keyrange"
 	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/kernel"
@@ -34,6 +34,8 @@
 	nextFence time.Duration
 	resumedAt time.Duration // when a status check made it usable again
 	absent    time.Duration // since when it is not listed; zero if it is
+	// differs is since when its measured throughput per slot differs from the mean of its service; zero if it does not.
+	differs time.Duration
 	// terminated is true once its termination has been logged.
 	terminated bool
 }
@@ -147,12 +149,12 @@
 func (s *Service) candidates(name entity.ServiceName, table *keyrange.Table, now time.Duration) []keyrange.Candidate {
 	var list []keyrange.Candidate
 	listed := map[keyrange.Holder]bool{}
-	speeds := s.speeds(name)
+	shares := s.shares(name, now)
 	for i, b := range s.directory.Services[name] {
 		h := holderOf(b)
 		listed[h] = true
 		k := s.coordinator.contact(h)
-		c := keyrange.Candidate{Holder: h, Zone: b.Zone, Capacity: float64(max(b.Slots, 1)) * speeds[i], Cold: b.WarmUntil > now}
+		c := keyrange.Candidate{Holder: h, Zone: b.Zone, Capacity: shares[i], Slots: b.Slots, Cold: b.WarmUntil > now}
 		switch {
 		case s.isUnconfirmed(b):
 			c.Usable = false
@@ -180,13 +182,32 @@
 	return list
 }
 
-// speeds returns the speeds of the backends of a service relative to their mean.
-func (s *Service) speeds(name entity.ServiceName) []float64 {
-	ids := make([]entity.BackendID, len(s.directory.Services[name]))
-	for i, b := range s.directory.Services[name] {
-		ids[i] = b.ID
+// lastingDifference is how long the throughput of a backend must differ from that of the others before its share of the keys changes.
+// Moving a range interrupts its keys, and load peaks last some 5 s.
+const lastingDifference = 5 * time.Second
+
+// shares returns the capacities of the backends of a service relative to one slot of mean speed. Only this instance's measurements are
+// known, so a backend of which it has too few counts as one of mean speed.
+func (s *Service) shares(name entity.ServiceName, now time.Duration) []float64 {
+	list := s.directory.Services[name]
+	ids, slots := make([]entity.BackendID, len(list)), make([]float64, len(list))
+	for i, b := range list {
+		ids[i], slots[i] = b.ID, float64(max(b.Slots, 1))
+	}
+	shares := capacity.Shares(slots, s.capacities.Throughputs(ids))
+	for i, b := range list {
+		k := s.coordinator.contact(holderOf(b))
+		switch {
+		case shares[i] == slots[i]:
+			k.differs = 0
+		case k.differs == 0:
+			k.differs = now
+			shares[i] = slots[i]
+		case now-k.differs < lastingDifference:
+			shares[i] = slots[i]
+		}
 	}
-	return balance.Speeds(s.serviceTimes.ServiceTimes(ids))
+	return shares
 }
 
 // sendDue passes the commands that are due to workers, one batch for each backend.
--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -69,15 +69,15 @@
 
 // Service is the kernel service named keys. Its control state belongs to the control goroutine; other goroutines read KeyView.
 type Service struct {
-	instance     service.InstanceConfig
-	log          *zap.Logger
-	store        service.DocumentStore
-	commands     service.CommandSender
-	identities   service.IdentityChecker
-	serviceTimes service.BackendTimeSource
-	leaving      service.LeavingRecorder
-	kernel       *kernel.Kernel
-	view         kernel.Snapshot[service.KeyView]
+	instance   service.InstanceConfig
+	log        *zap.Logger
+	store      service.DocumentStore
+	commands   service.CommandSender
+	identities service.IdentityChecker
+	capacities service.CapacitySource
+	leaving    service.LeavingRecorder
+	kernel     *kernel.Kernel
+	view       kernel.Snapshot[service.KeyView]
 
 	// The fields below belong to the control goroutine.
 	directory      *service.DirectoryView
@@ -198,7 +198,7 @@
 	if s.identities, err = kernel.Lookup[service.IdentityChecker](r, service.Endpoints); err != nil {
 		return err
 	}
-	if s.serviceTimes, err = kernel.Lookup[service.BackendTimeSource](r, service.Loads); err != nil {
+	if s.capacities, err = kernel.Lookup[service.CapacitySource](r, service.Loads); err != nil {
 		return err
 	}
 	s.leaving, err = kernel.Lookup[service.LeavingRecorder](r, service.Loads)
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -124,21 +124,17 @@
 // unreachableRetry is the time after which a caller may retry if no backend is reachable.
 const unreachableRetry = 250 * time.Millisecond
 
-// ServiceTimes implements service.BackendTimeSource.
-func (s *Service) ServiceTimes(ids []entity.BackendID) []time.Duration {
+// Throughputs implements service.CapacitySource.
+func (s *Service) Throughputs(ids []entity.BackendID) []float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	times := make([]time.Duration, len(ids))
+	throughputs := make([]float64, len(ids))
 	for i, id := range ids {
-		e := s.endpoints[id]
-		if e == nil {
-			continue
-		}
-		if measured, known := e.MeasuredServiceTime(); known {
-			times[i] = measured
+		if e := s.endpoints[id]; e != nil {
+			throughputs[i], _ = e.Capacity().Throughput()
 		}
 	}
-	return times
+	return throughputs
 }
 
 // FinishAttempt implements service.LoadTracker.
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -134,11 +134,11 @@
 func (s *Service) Stop(context.Context) error { return nil }
 
 var (
-	_ service.LoadTracker       = (*Service)(nil)
-	_ service.TrafficExchange   = (*Service)(nil)
-	_ service.BackendTimeSource = (*Service)(nil)
-	_ service.LeavingRecorder   = (*Service)(nil)
-	_ kernel.Handler            = (*Service)(nil)
+	_ service.LoadTracker     = (*Service)(nil)
+	_ service.TrafficExchange = (*Service)(nil)
+	_ service.CapacitySource  = (*Service)(nil)
+	_ service.LeavingRecorder = (*Service)(nil)
+	_ kernel.Handler          = (*Service)(nil)
 )
 
 // shortHash returns the hash that identifies a backend or a customer in heartbeats.
--- a/internal/service/members.go
+++ b/internal/service/members.go
@@ -63,10 +63,10 @@
 	}
 )
 
-// BackendTimeSource provides the service times that this instance has measured at backends.
-type BackendTimeSource interface {
-	// ServiceTimes returns the service time of one request at each backend, or zero if there are too few measurements.
-	ServiceTimes(ids []entity.BackendID) []time.Duration
+// CapacitySource provides what this instance has learned of the backends' capacity.
+type CapacitySource interface {
+	// Throughputs returns the requests per second that each backend handles well, or zero if there are too few measurements.
+	Throughputs(ids []entity.BackendID) []float64
 }
 
 // LeavingRecorder records that a backend process has stated in an answer that it is leaving. Members reports it to the directory of
