Command where: ask an instance where a request would go

Cause: explain tells what became of a request, but nothing tells where the next one would go and why, although choice and refusal now rest on learned values that no page can list.

Change: router and loads forecast a call on copies of their state. The metrics address answers POST /where, with the customer's key in the body and never in an answer; pollenpier where prints it as text or JSON and exits with 3 if the request would be refused. Nothing is sent, no token is used and no state changes.

Measured: go test -race ./platform (188 s), ./internal/service/router, ./internal/service/loads, ./internal/app and ./internal/archtest pass; 50 forecasts leave a full bucket of 8 tokens full.

--- a/cmd/pollenpier/main.go
+++ b/cmd/pollenpier/main.go
@@ -14,6 +14,8 @@
 const (
 	exitFailed = 1
 	exitUsage  = 2
+	// exitRefused is the code of the subcommand where for a request that would be refused.
+	exitRefused = 3
 )
 
 // commands lists the subcommands. The parser calls the Execute method of the one that is named.
@@ -24,6 +26,7 @@
 	Status   statusCommand   `command:"status" description:"Print the status of a running instance"`
 	Platform platformCommand `command:"platform" description:"Run one instance on the users' platform"`
 	Explain  explainCommand  `command:"explain" description:"Print the path of one request from the logs of instances"`
+	Where    whereCommand    `command:"where" description:"Ask a running instance where a request would go, without sending it"`
 	Standin  standinCommand  `command:"standin" description:"Run a simulated platform or backend, for trials and tests"`
 	Demo     demoCommand     `command:"demo" description:"Run a complete deployment on loopback in one process"`
 }
@@ -32,7 +35,7 @@
 	os.Exit(run(os.Args[1:]))
 }
 
-// run executes the command line and returns the exit code: 0, exitFailed or exitUsage.
+// run executes the command line and returns the exit code: 0, exitFailed, exitUsage or exitRefused.
 func run(args []string) int {
 	// In its default mode, gin writes unstructured lines to standard error in between the log events.
 	gin.SetMode(gin.ReleaseMode)
@@ -49,6 +52,8 @@
 	case errors.As(err, &usage):
 		fmt.Fprintln(os.Stderr, "pollenpier:", usage.Message)
 		return exitUsage
+	case errors.Is(err, errWouldBeRefused):
+		return exitRefused
 	default:
 		fmt.Fprintln(os.Stderr, "pollenpier:", err)
 		return exitFailed
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,6 +1,6 @@
 // Package explain finds the log lines of one request in the logs of store-based instances and prints them in order, with
 // the versions of the configuration and of the key ranges on which the decisions were based. The subcommand explain uses
-// it.
+// it. It also holds the answer to the question where a request would go, for the subcommand where.
 package explain
 
 import (
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -32,6 +32,7 @@
 	keys      service.KeySource
 	members   service.MembersSource
 	loads     service.LoadTracker
+	forecasts service.LoadForecaster
 	endpoints service.Deliverer
 	checker   service.WarmupChecker
 	checks    sync.WaitGroup // warm-up checks in flight
@@ -86,6 +87,9 @@
 	if s.loads, err = kernel.Lookup[service.LoadTracker](r, service.Loads); err != nil {
 		return err
 	}
+	if s.forecasts, err = kernel.Lookup[service.LoadForecaster](r, service.Loads); err != nil {
+		return err
+	}
 	if s.endpoints, err = kernel.Lookup[service.Deliverer](r, service.Endpoints); err != nil {
 		return err
 	}
