--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -21,7 +21,7 @@
 	tolerance = 1.25
 	// decayStep is the interval at which old measurements are decayed.
 	decayStep = 100 * time.Millisecond
-	// curveDecay is the fraction of a slowdown that remains after one decayStep. After 2 s a fifth remains, so that a backend
+	// curveDecay is the fraction of a slowdown that remains after one decayStep. After 2 s of doubt a fifth remains, so that a backend
 	// that has recovered is tried at a higher occupancy again.
 	curveDecay = 0.92
 	// curveSilence is the time without an answer at one occupancy after which its slowdown is doubted.
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -88,6 +88,8 @@
 	// silent is true while no status path is answered.
 	silent     bool
 	identified int // answered status paths
+	// throughputs are what the instance has measured of the backends.
+	throughputs map[entity.BackendID]float64
 }
 
 // Identify implements service.IdentityChecker.
@@ -173,7 +175,7 @@
 	*backends
 }
 
-// loadsStub is a loads service without measurements. It records the backends that are leaving.
+// loadsStub is a loads service. It records the backends that are leaving.
 type loadsStub struct {
 	stub
 	*backends
@@ -186,8 +188,14 @@
 	s.recordedLeaving = append(s.recordedLeaving, process.ID)
 }
 
-func (loadsStub) Throughputs(ids []entity.BackendID) []float64 {
-	return make([]float64, len(ids))
+func (s loadsStub) Throughputs(ids []entity.BackendID) []float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	throughputs := make([]float64, len(ids))
+	for i, id := range ids {
+		throughputs[i] = s.throughputs[id]
+	}
+	return throughputs
 }
 
 // harness runs the keys service of one instance on a kernel.
