Report measured service times to the coordinator of key ranges

Cause: the coordinator placed ranges by its own measurements, which need 20 answers of each backend: minutes with dozens of instances. Change: instances sum up the service times of backends of partitioned services and report the sums to the coordinator with the requested keys, every 200 ms. The coordinator averages them over 15 s.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -151,6 +151,16 @@
 	return &e.capacity
 }
 
+// SlotTime returns the time for which a request of mean work keeps one of the backend's slots busy, given the service time that
+// Succeeded has returned for a request: it is longer if the backend slows down below its slots.
+func (e *Endpoint) SlotTime(served time.Duration, work Work) time.Duration {
+	unloaded := float64(served) / work.factor()
+	if !e.adaptive {
+		return time.Duration(unloaded)
+	}
+	return time.Duration(unloaded * float64(e.slots) / max(e.capacity.LastLimit(), 1))
+}
+
 // Failed finishes a request that the backend refused, failed or did not answer.
 func (e *Endpoint) Failed() {
 	e.inFlight--
--- a/internal/service/keys.go
+++ b/internal/service/keys.go
@@ -29,10 +29,20 @@
 	ReportMisdirected(version Version)
 }
 
-// KeysRequested is sent by members to keys and contains the keys that callers recently requested from one instance.
+// KeysRequested is sent by members to keys and contains what one instance reports to the coordinator: the keys that callers recently
+// requested, and the service times measured at the backends of partitioned services since the last report.
 type KeysRequested struct {
-	Keys []uint32
-	At   time.Duration
+	Keys     []uint32
+	Measured []BackendMeasurement
+	At       time.Duration
+}
+
+// BackendMeasurement sums up what one instance has measured at one backend.
+type BackendMeasurement struct {
+	Backend uint32 // short hash
+	Answers int
+	// ServiceTime is the sum over the answers of the time for which each kept one slot busy.
+	ServiceTime time.Duration
 }
 
 // TableChange is the difference between two successive versions of the table.
--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -186,15 +186,16 @@
 // Moving a range interrupts its keys, and load peaks last some 5 s.
 const lastingDifference = 5 * time.Second
 
-// shares returns the capacities of the backends of a service relative to one slot of mean speed. Only this instance's measurements are
-// known, so a backend of which it has too few counts as one of mean speed.
+// shares returns the capacities of the backends of a service relative to one slot of mean speed, by what all instances have measured. A
+// backend with too few measurements counts as one of mean speed.
 func (s *Service) shares(name entity.ServiceName, now time.Duration) []float64 {
 	list := s.directory.Services[name]
-	ids, slots := make([]entity.BackendID, len(list)), make([]float64, len(list))
+	slots, throughputs := make([]float64, len(list)), make([]float64, len(list))
 	for i, b := range list {
-		ids[i], slots[i] = b.ID, float64(max(b.Slots, 1))
+		slots[i] = float64(max(b.Slots, 1))
+		throughputs[i] = s.measurements.throughput(b.ID, slots[i], now)
 	}
-	shares := capacity.Shares(slots, s.capacities.Throughputs(ids))
+	shares := capacity.Shares(slots, throughputs)
 	for i, b := range list {
 		k := s.coordinator.contact(holderOf(b))
 		switch {
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -88,8 +88,6 @@
 	// silent is true while no status path is answered.
 	silent     bool
 	identified int // answered status paths
-	// throughputs are what the instance has measured of the backends.
-	throughputs map[entity.BackendID]float64
 }
 
 // Identify implements service.IdentityChecker.
@@ -188,16 +186,6 @@
 	s.recordedLeaving = append(s.recordedLeaving, process.ID)
 }
 
-func (s loadsStub) Throughputs(ids []entity.BackendID) []float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	throughputs := make([]float64, len(ids))
-	for i, id := range ids {
-		throughputs[i] = s.throughputs[id]
-	}
-	return throughputs
-}
-
 // harness runs the keys service of one instance on a kernel.
 type harness struct {
 	t        *testing.T
--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -74,7 +74,6 @@
 	store      service.DocumentStore
 	commands   service.CommandSender
 	identities service.IdentityChecker
-	capacities service.CapacitySource
 	leaving    service.LeavingRecorder
 	kernel     *kernel.Kernel
 	view       kernel.Snapshot[service.KeyView]
@@ -94,6 +93,7 @@
 	startedAt      time.Duration
 	peers          map[entity.InstanceID]*peer
 	keyLoad        keyLoad
+	measurements   measurements
 	grantedFences  map[uint64]bool
 	storeReachable bool
 	// announcing is true while newly granted ranges are collected.
@@ -158,6 +158,7 @@
 		log:           log,
 		peers:         map[entity.InstanceID]*peer{},
 		grantedFences: map[uint64]bool{},
+		measurements:  measurements{},
 		processes:     map[keyrange.Holder]process{},
 		directory:     &service.DirectoryView{},
 		counters: counters{
@@ -198,9 +199,6 @@
 	if s.identities, err = kernel.Lookup[service.IdentityChecker](r, service.Endpoints); err != nil {
 		return err
 	}
-	if s.capacities, err = kernel.Lookup[service.CapacitySource](r, service.Loads); err != nil {
-		return err
-	}
 	s.leaving, err = kernel.Lookup[service.LeavingRecorder](r, service.Loads)
 	return err
 }
@@ -241,6 +239,7 @@
 		s.peerHeartbeat(t, m)
 	case service.KeysRequested:
 		s.keyLoad.add(m.Keys, m.At)
+		s.measurements.add(m.Measured, m.At)
 	case misdirected:
 		if m.version == s.version {
 			s.nextRead = min(s.nextRead, t.Now()+tick)
--- a/internal/service/keys/speed_test.go
+++ b/internal/service/keys/speed_test.go
@@ -30,12 +30,12 @@
 		return granted, ofSlow
 	}
 	advanceUntil(t, clock, 5*time.Second, func() bool { granted, _ := owned(); return granted == 20 })
-	targets.mu.Lock()
-	targets.throughputs = map[entity.BackendID]float64{"e1": 10, "e2": 20}
-	targets.mu.Unlock()
+	measured := []service.BackendMeasurement{
+		{Backend: entity.ShortHash("e1"), Answers: 10, ServiceTime: 2 * time.Second}, {Backend: entity.ShortHash("e2"), Answers: 10, ServiceTime: time.Second},
+	}
 	slowSince := clock.Now()
 	advanceUntil(t, clock, 15*time.Second, func() bool {
-		h.deliver(service.KeysRequested{Keys: []uint32{1, 5000, 40000, 45000}, At: clock.Now()})
+		h.deliver(service.KeysRequested{Keys: []uint32{1, 5000, 40000, 45000}, Measured: measured, At: clock.Now()})
 		_, ofSlow := owned()
 		require.True(t, ofSlow == 10 || clock.Now()-slowSince >= 5*time.Second, "after %v", clock.Now()-slowSince)
 		return ofSlow <= 8
--- a/internal/service/loads/choose.go
+++ b/internal/service/loads/choose.go
@@ -124,19 +124,6 @@
 // unreachableRetry is the time after which a caller may retry if no backend is reachable.
 const unreachableRetry = 250 * time.Millisecond
 
-// Throughputs implements service.CapacitySource.
-func (s *Service) Throughputs(ids []entity.BackendID) []float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	throughputs := make([]float64, len(ids))
-	for i, id := range ids {
-		if e := s.endpoints[id]; e != nil {
-			throughputs[i], _ = e.Capacity().Throughput()
-		}
-	}
-	return throughputs
-}
-
 // FinishAttempt implements service.LoadTracker.
 func (s *Service) FinishAttempt(a service.Attempt, r *service.DeliveryResult, now time.Duration) {
 	s.mu.Lock()
@@ -162,6 +149,7 @@
 	case r.Outcome.Kind == entity.OutcomeAnswered && r.Status < serverErrors:
 		served := e.Succeeded(now-a.Sent, a.Position, a.Work, now)
 		s.workTimes(a.Service).Record(a.Route, served)
+		s.measure(e, a.Service, e.SlotTime(served, a.Work))
 		s.reportChange(e)
 	case r.Outcome.Reason == entity.ReasonUnreachable:
 		e.Unreachable(now)
--- a/internal/service/loads/customers.go
+++ b/internal/service/loads/customers.go
@@ -5,6 +5,7 @@
 
 	"github.com/pollenpier/pollenpier/internal/catalog"
 	"github.com/pollenpier/pollenpier/internal/decide/quota"
+	"github.com/pollenpier/pollenpier/internal/entity"
 	"github.com/pollenpier/pollenpier/internal/service"
 )
 
@@ -26,7 +27,7 @@
 func (s *Service) customer(c *catalog.Customer, now time.Duration) *customer {
 	state := s.customers[c.ID]
 	if state == nil {
-		state = &customer{bucket: quota.NewBucket(c.Rate, c.Burst, now), rate: c.Rate, burst: c.Burst, hash: shortHash(string(c.ID))}
+		state = &customer{bucket: quota.NewBucket(c.Rate, c.Burst, now), rate: c.Rate, burst: c.Burst, hash: entity.ShortHash(c.ID)}
 		s.customers[c.ID], s.customersByHash[state.hash] = state, state
 	}
 	if state.rate != c.Rate || state.burst != c.Burst {
--- a/internal/service/loads/loads.go
+++ b/internal/service/loads/loads.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -72,7 +71,8 @@
 	peerWarmup balance.PeerWarmup
 	check      balance.WarmupCheck
 	// acceptance is used only for backends that own keys.
-	acceptance balance.AcceptanceRate
+	acceptance  balance.AcceptanceRate
+	measurement measurement // since the last report
 	// preference is this instance's preference for the backend, see balance.Candidate.
 	preference float64
 }
@@ -136,14 +136,10 @@
 var (
 	_ service.LoadTracker     = (*Service)(nil)
 	_ service.TrafficExchange = (*Service)(nil)
-	_ service.CapacitySource  = (*Service)(nil)
 	_ service.LeavingRecorder = (*Service)(nil)
 	_ kernel.Handler          = (*Service)(nil)
 )
 
-// shortHash returns the hash that identifies a backend or a customer in heartbeats.
-func shortHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
-
 // endpoint returns the state of a backend and creates it for a new process. The caller holds the lock.
 func (s *Service) endpoint(b *catalog.Backend, now time.Duration) *endpoint {
 	e := s.endpoints[b.ID]
@@ -153,8 +149,8 @@
 			warmup = e.warmup // requests with older and newer directory views may alternate
 		}
 		e = &endpoint{
-			Endpoint: balance.NewAdaptiveEndpoint(b.Slots), id: b.ID, incarnation: b.Incarnation, hash: shortHash(string(b.ID)), warmup: warmup,
-			preference: float64(shortHash(string(s.instance.ID)+string(b.ID))) / math.MaxUint32, lastUsed: now,
+			Endpoint: balance.NewAdaptiveEndpoint(b.Slots), id: b.ID, incarnation: b.Incarnation, hash: entity.ShortHash(b.ID), warmup: warmup,
+			preference: float64(entity.ShortHash(string(s.instance.ID)+string(b.ID))) / math.MaxUint32, lastUsed: now,
 		}
 		s.endpoints[b.ID], s.endpointsByHash[e.hash] = e, e
 		for peer, reported := range s.peerInFlight {
--- a/internal/service/loads/peers.go
+++ b/internal/service/loads/peers.go
@@ -32,6 +32,7 @@
 		}
 	}
 	r.Keys, s.keys = s.keys, nil
+	r.Measured = s.takeMeasurements()
 	r.Crashing = slices.Clone(s.crashes.reported)
 	r.Leaving = s.leaving.recent(now, window)
 	return r
--- a/internal/service/members.go
+++ b/internal/service/members.go
@@ -47,14 +47,15 @@
 type (
 	// TrafficReport summarizes the recent traffic of this instance.
 	TrafficReport struct {
-		InFlight map[uint32]uint32 // requests in flight by short hash of the backend
-		ColdSent map[uint32]uint32 // requests sent to cold backends in the last second
-		Admitted map[uint32]uint64 // requests admitted since the start, by short hash of the customer
-		Refused  map[uint32]uint64 // requests refused for the rate since the start, for the same customers
-		Keys     []uint32          // keys requested since the last report
-		Crashing []uint64          // fingerprints of requests that crashed backends
-		Leaving  []uint64          // hashes of backend processes that have just stated that they are leaving, see keyrange.Holder
-		Refusing []uint32          // backends that refuse connections
+		InFlight map[uint32]uint32    // requests in flight by short hash of the backend
+		ColdSent map[uint32]uint32    // requests sent to cold backends in the last second
+		Admitted map[uint32]uint64    // requests admitted since the start, by short hash of the customer
+		Refused  map[uint32]uint64    // requests refused for the rate since the start, for the same customers
+		Keys     []uint32             // keys requested since the last report
+		Measured []BackendMeasurement // service times measured since the last report
+		Crashing []uint64             // fingerprints of requests that crashed backends
+		Leaving  []uint64             // hashes of backend processes that have just stated that they are leaving, see keyrange.Holder
+		Refusing []uint32             // backends that refuse connections
 	}
 	// PeerTraffic is the traffic report of a peer.
 	PeerTraffic struct {
@@ -63,12 +64,6 @@
 	}
 )
 
-// CapacitySource provides what this instance has learned of the backends' capacity.
-type CapacitySource interface {
-	// Throughputs returns the requests per second that each backend handles well, or zero if there are too few measurements.
-	Throughputs(ids []entity.BackendID) []float64
-}
-
 // LeavingRecorder records that a backend process has stated in an answer that it is leaving. Members reports it to the directory of
 // each instance.
 type LeavingRecorder interface {
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -107,7 +107,7 @@
 	keys            service.KeyReport
 	sequence        uint64
 	ticks           uint64
-	pending         []uint32          // keys to report to the coordinator
+	pending         pendingReport     // for the coordinator
 	reachableInZone int               // reachable peers in the zone
 	reader          entity.InstanceID // see zoneReader; determined at each interval
 	zoneInterval    uint64            // intervals between two heartbeats in the zone
--- a/internal/service/members/receive.go
+++ b/internal/service/members/receive.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if m.message.KeysOnly {
-		t.Send(service.Keys, service.KeysRequested{Keys: m.message.Keys, At: t.Now()})
+		t.Send(service.Keys, service.KeysRequested{Keys: m.message.Keys, Measured: measurementsOf(m.message), At: t.Now()})
 		return
 	}
 	if m.message.Sequence <= p.sequence {
--- a/internal/service/members/send.go
+++ b/internal/service/members/send.go
@@ -23,7 +23,7 @@
 	s.reader = s.zoneReader()
 	if due := s.duePeers(); len(due) > 0 || s.ticks%s.zoneInterval == 0 {
 		report := s.traffic.Report(now, s.reportWindow(), now < s.fullUntil)
-		s.pending = append(s.pending, report.Keys...)
+		s.pending.add(report)
 		s.reportLeaving(t, report.Leaving)
 		s.sendTo(due, s.compose(report))
 	}
@@ -75,25 +75,12 @@
 	}
 }
 
-// reportKeys sends the requested keys to the coordinator only, which uses them to balance key ranges.
-func (s *Service) reportKeys(t *kernel.Turn) {
-	if s.ticks%reportEvery != 0 || len(s.pending) == 0 {
-		return
-	}
-	if s.keys.CoordinatorID == s.instance.ID {
-		t.Send(service.Keys, service.KeysRequested{Keys: s.pending, At: t.Now()})
-	} else if p := s.peers[s.keys.CoordinatorID]; p != nil {
-		s.send(&fleetpb.Heartbeat{From: s.self(), KeysOnly: true, Keys: s.pending}, p)
-	}
-	s.pending = nil
-}
-
 // broadcast immediately sends a heartbeat to every peer.
 func (s *Service) broadcast() {
 	s.sequence++
 	now := s.kernel.Now()
 	report := s.traffic.Report(now, s.reportWindow(), now < s.fullUntil)
-	s.pending = append(s.pending, report.Keys...)
+	s.pending.add(report)
 	message := s.compose(report)
 	if c := s.keys.Change; c != nil {
 		message.Delta = fleetpb.EncodeDelta(c.Delta, uint64(c.From), uint64(c.To))
