--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -198,7 +198,7 @@
 	*backends
 }
 
-// loadsStub is a loads service without measurements. It records the backends that are leaving.
+// loadsStub is a loads service. It records the backends that are leaving.
 type loadsStub struct {
 	stub
 	*backends
@@ -211,10 +211,6 @@
 	s.recordedLeaving = append(s.recordedLeaving, process.ID)
 }
 
-func (loadsStub) ServiceTimes(ids []entity.BackendID) []time.Duration {
-	return make([]time.Duration, len(ids))
-}
-
 // harness runs the keys service of one instance on a kernel.
 type harness struct {
 	t        *testing.T
--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -69,16 +69,15 @@
 
 // Service is the kernel service named keys. Its control state belongs to the control goroutine; other goroutines read KeyView.
 type Service struct {
-	instance     service.InstanceConfig
-	log          *zap.Logger
-	store        service.DocumentStore
-	commands     service.CommandSender
-	identities   service.IdentityChecker
-	serviceTimes service.BackendTimeSource
-	leaving      service.LeavingRecorder
-	rollout      service.RolloutTracker // nil if the platform knows no rollouts
-	kernel       *kernel.Kernel
-	view         kernel.Snapshot[service.KeyView]
+	instance   service.InstanceConfig
+	log        *zap.Logger
+	store      service.DocumentStore
+	commands   service.CommandSender
+	identities service.IdentityChecker
+	leaving    service.LeavingRecorder
+	rollout    service.RolloutTracker // nil if the platform knows no rollouts
+	kernel     *kernel.Kernel
+	view       kernel.Snapshot[service.KeyView]
 
 	// The fields below belong to the control goroutine.
 	directory      *service.DirectoryView
@@ -96,6 +95,7 @@
 	startedAt      time.Duration
 	peers          map[entity.InstanceID]*peer
 	keyLoad        keyLoad
+	measurements   measurements
 	grantedFences  map[uint64]bool
 	storeReachable bool
 	// announcing is true while newly granted ranges are collected.
@@ -160,6 +160,7 @@
 		log:           log,
 		peers:         map[entity.InstanceID]*peer{},
 		grantedFences: map[uint64]bool{},
+		measurements:  measurements{},
 		processes:     map[keyrange.Holder]process{},
 		directory:     &service.DirectoryView{},
 		counters: counters{
@@ -204,9 +205,6 @@
 	if s.identities, err = kernel.Lookup[service.IdentityChecker](r, service.Endpoints); err != nil {
 		return err
 	}
-	if s.serviceTimes, err = kernel.Lookup[service.BackendTimeSource](r, service.Loads); err != nil {
-		return err
-	}
 	if s.leaving, err = kernel.Lookup[service.LeavingRecorder](r, service.Loads); err != nil {
 		return err
 	}
@@ -252,6 +250,7 @@
 		s.peerHeartbeat(t, m)
 	case service.KeysRequested:
 		s.keyLoad.add(m.Keys, m.At)
+		s.measurements.add(m.Measured, m.At)
 	case service.StoreEraChanged:
 		s.storeEraChanged(t, m.Era)
 	case misdirected:
