--- a/internal/service/keys/keys.go
+++ b/internal/service/keys/keys.go
@@ -292,7 +292,6 @@
 		s.coordinate(t)
 	}
 	s.reportMoved(t)
-	s.keyLoad.long = s.rollout != nil && len(s.rollout.RolloutView().Services) > 0
 	s.keyLoad.expire(now)
 }
 
