--- a/internal/service/keys/coordinate.go
+++ b/internal/service/keys/coordinate.go
@@ -26,6 +26,7 @@
 	// fenceUntil is when the grants of predecessors have expired. fenced means that all of them have expired or were dropped.
 	fenceUntil time.Duration
 	fenced     bool
+	stages     map[entity.ServiceName]keyrange.Stage // of the rollouts at the last plan
 }
 
 // backendContact is what the results of commands have shown about a backend process.
@@ -66,6 +67,7 @@
 		checks:    map[string]*addressCheck{},
 		// A predecessor that cannot be reached sends no grant that lasts longer than this.
 		fenceUntil: now + keyrange.PredecessorTTL,
+		stages:     map[entity.ServiceName]keyrange.Stage{},
 	}
 }
 
@@ -82,6 +84,7 @@
 func (s *Service) coordinate(t *kernel.Turn) {
 	now := t.Now()
 	s.updateAbsence(now)
+	s.planAtNewStage(now)
 	if now >= s.coordinator.nextPlan && !s.writing && !s.reading && s.seen <= s.version && s.era.seen <= s.version.Era() {
 		s.plan(t)
 	}
