Bound what an instance holds for its callers

Cause: only bodies above 64 KiB were accounted for.

It counts connections (16 KiB each), heads beyond a usual one (three times their bytes, 128 bytes a field), bodies and answers; its limit follows from memory and descriptors (self.limits.maxFds). When it is used up, connections without progress are closed, those that hold most first and the oldest of them; requests in progress never are. A request begins only if the answers of the requests in progress are expected to fit. internal/httpserver refuses heads by bytes and fields before net/http parses them, and ends heads, bodies and answers that are too slow. Readiness and metrics use the same server with limits of their own. Events 2310 to 2317.

Ruled out: a limit per address only, since callers may come through a balancer; a check of the runtime's own memory statistics, since it notices a flood only after the memory was taken.

--- a/cmd/pollenpier/platform.go
+++ b/cmd/pollenpier/platform.go
@@ -15,14 +15,9 @@
 	LogLevel string `long:"log-level" default:"info" description:"Lowest level that is logged: debug, info, warn or error"`
 }
 
-// Settings of the garbage collector.
-const (
-	// heapGrowth is the growth of the heap, in percent, at which the collector runs. It is low because the state is small and
-	// memory is expensive.
-	heapGrowth = 60
-	// heapFraction is the fraction of the machine's memory that the heap may use before the collector runs more often.
-	heapFraction = 0.6
-)
+// heapGrowth is the growth of the heap, in percent, at which the garbage collector runs. It is low because the state is small and memory
+// is expensive.
+const heapGrowth = 60
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
@@ -36,8 +31,8 @@
 		return err
 	}
 	debug.SetGCPercent(heapGrowth)
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapFraction))
+	if heap := s.CallerLimits().Heap; heap > 0 {
+		debug.SetMemoryLimit(heap)
 	}
 	log, err := telemetry.NewBoundedLogger(c.LogLevel, os.Stdout)
 	if err != nil {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,6 +34,7 @@
 type conn struct {
 	net.Conn
 	server *Server
+	guard  *guard // nil if the server has no limits
 
 	mu         sync.Mutex
 	stopping   bool // the connection is closed before it reads another request
@@ -63,6 +64,9 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		c.countRead(n)
+		if c.phase == phaseReading && !c.guard.acceptHead(p[:n]) {
+			return 0, os.ErrDeadlineExceeded
+		}
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.peerClosed = true
@@ -110,8 +114,8 @@
 
 // CloseWrite closes the sending direction. The HTTP server calls it before it closes a connection with unread data.
 func (c *conn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
 	}
 	return nil
 }
@@ -132,7 +136,7 @@
 // unanswered describes the current request if it has no complete answer, and returns nil otherwise. The caller holds the lock.
 func (c *conn) unanswered() *Unanswered {
 	complete := c.phase == phaseAnswered && c.written && !c.writing && !c.unread && c.writeError == nil
-	rejected := c.phase == phaseReading && c.written // net/http rejects invalid and incomplete requests without a handler
+	rejected := c.phase == phaseReading && (c.written || c.guard.hasEnded()) // invalid and incomplete requests need no handler
 	if c.phase == phaseWaiting || complete || rejected {
 		return nil
 	}
@@ -207,6 +211,7 @@
 		return // the caller has left, and Close reports its request
 	}
 	c.phase, c.request, c.bytes, c.written = phaseWaiting, "", 0, false
+	c.guard.wait(c.readAhead > 0)
 	if c.readAhead > 0 {
 		c.begin(c.readAhead)
 		c.readAhead = 0
@@ -224,6 +229,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.conn.endBody()
+		if !b.conn.guard.endBody() {
+			return 0, os.ErrDeadlineExceeded
+		}
 	}
 	return n, err
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -49,6 +49,8 @@
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may wait for its next request. Zero means no limit.
 	IdleTimeout time.Duration
+	// Limits bounds what the server holds for its callers. Nil means no limits.
+	Limits *Limits
 	// Name is the prefix of the metrics.
 	Name     string
 	Log      *zap.Logger
@@ -60,9 +62,12 @@
 	options Options
 	http    *http.Server
 	open    metrics.Gauge
-	leaving atomic.Bool
-	cancel  func()        // cancels the contexts of all requests, with ErrStopping
-	drained chan struct{} // closed when a stopping server accepts no more connections and the last one has ended
+	began   time.Time
+	// held and admitted say how much of the limits is in use.
+	held, admitted metrics.Gauge
+	leaving        atomic.Bool
+	cancel         func()        // cancels the contexts of all requests, with ErrStopping
+	drained        chan struct{} // closed when a stopping server accepts no more connections and the last one has ended
 
 	mu         sync.Mutex
 	socket     net.Listener
@@ -79,9 +84,16 @@
 func New(o Options) *Server {
 	base, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
-		options: o, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry),
+		options: o, began: time.Now(), open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry),
 		cancel: func() { cancel(ErrStopping) }, drained: make(chan struct{}), conns: map[*conn]struct{}{},
 	}
+	if o.Limits != nil {
+		if o.Limits.pace == (pace{}) {
+			o.Limits.pace = defaultPace
+		}
+		s.held = metrics.GetOrRegisterGauge(o.Name+".held_bytes", o.Registry)
+		s.admitted = metrics.GetOrRegisterGauge(o.Name+".connections_admitted", o.Registry)
+	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: o.ReadHeaderTimeout,
@@ -181,7 +193,11 @@
 	}
 	answer := &answerWriter{ResponseWriter: w, server: s}
 	defer s.recoverPanic(c, answer)
-	s.options.Handler.ServeHTTP(answer, r)
+	if c.guard.begin(r.Body != http.NoBody) {
+		s.options.Handler.ServeHTTP(answer, r)
+	} else {
+		answer.refuse()
+	}
 	if !answer.started {
 		answer.WriteHeader(http.StatusOK)
 	}
--- a/internal/httpserver/stop.go
+++ b/internal/httpserver/stop.go
@@ -129,3 +129,10 @@
 	}
 	_ = http.NewResponseController(w.ResponseWriter).Flush() // net/http's writer can always be flushed
 }
+
+// refuse answers that the request has not run.
+func (w *answerWriter) refuse() {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/internal/telemetry/catalogue_httpserver.go
+++ b/internal/telemetry/catalogue_httpserver.go
@@ -8,4 +8,13 @@
 	EventRequestLeft       = define(2301, zapcore.DebugLevel, "caller closed its connection before its request was answered")
 	EventHandlerPanicked   = define(2302, zapcore.ErrorLevel, "handler of a request panicked")
 	EventHTTPServerProblem = define(2303, zapcore.WarnLevel, "HTTP server reported a problem")
+
+	EventCallerLimits            = define(2310, zapcore.InfoLevel, "limits for callers in force")
+	EventConnectionRefused       = define(2311, zapcore.WarnLevel, "caller's connection refused, since connections or memory are used up")
+	EventConnectionClosedForRoom = define(2312, zapcore.WarnLevel, "caller's connection without progress closed to make room for others")
+	EventHeadTooLarge            = define(2313, zapcore.WarnLevel, "head of a request refused, since it has too many bytes or fields")
+	EventHeadTooSlow             = define(2314, zapcore.WarnLevel, "connection closed, since the head of a request was not complete in time")
+	EventBodyTooSlow             = define(2315, zapcore.WarnLevel, "body of a request not read further, since it arrives too slowly")
+	EventAnswerNotTaken          = define(2316, zapcore.WarnLevel, "connection closed, since the caller does not take its answer")
+	EventRequestWithoutMemory    = define(2317, zapcore.WarnLevel, "request not run, since there is no memory for it")
 )
