Admit a body of 64 MiB on a machine of 184 MB

Change: the memory limit of the Go runtime is 0.75 of the machine's memory and the share of backends' answers 0.12.

--- a/internal/decide/callerbudget/limits.go
+++ b/internal/decide/callerbudget/limits.go
@@ -17,14 +17,14 @@
 const (
 	// heapFraction is the fraction of the machine's memory that the Go runtime may use before it collects garbage more often. The
 	// remainder is for what the program allocates during a collection.
-	heapFraction = 0.7
+	heapFraction = 0.75
 	// processMemory is what the process needs without callers, in bytes: 10 to 15 MB in the tests of platform/callers, and the
 	// connections of the readiness and metrics listeners.
 	processMemory = 20 << 20
 	// garbageFactor leaves 15 % of the heap for garbage, so that the collector does not run continuously when the budget is used up.
 	garbageFactor = 1.15
 	// answerFraction is the fraction of the machine's memory for the backends' answers that are being read, at most maxAnswers bytes.
-	answerFraction = 0.15
+	answerFraction = 0.12
 	maxAnswers     = 32 << 20
 	// The budget is not below the smaller of minMemory and minFraction of the machine's memory.
 	minMemory   = 4 << 20
