Work on pipelined idempotent requests side by side

Cause: net/http handles one request of a connection at a time, and looks for the caller's close by reading one byte, which is the next request's if one was sent ahead. Requests behind a slow one waited for it, and work for a caller that had closed its connection with a request queued went on: TestCloseIsNoticedBehindAQueuedRequest failed on the previous code ("the request was not canceled"), and so did the first and third test of platform/pipeline_test.go.

Change: a connection keeps the data behind the current request to itself. The goroutine in which net/http waits for the close reads on into that buffer (at most 16 KiB, then it waits for the close without reading), begins the requests that Options.Concurrent allows (at most 8 of a connection in progress, 64 KiB of recorded answers), and reports the close to net/http. When net/http reaches a request that has begun, its recorded answer is written.

TestQueuedOrderOfACallerThatLeftIsNotSent passes on the previous code as well; it guards the requirement.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -43,7 +44,6 @@
 	began      time.Time
 	bytes      int   // bytes read of the request
 	bodyEnded  bool  // the body of the request has been read to its end
-	readAhead  int   // bytes read of the next request
 	written    bool  // part of the answer has been written
 	writing    bool  // a write is in progress
 	unread     bool  // the caller had closed the connection before the answer began
@@ -51,18 +51,52 @@
 	writeError error // the answer could not be written
 	aborted    Cause // why the handler did not return normally
 	closed     bool
+
+	// Where the data that net/http has read lies in the stream of requests.
+	scan      headScanner
+	headEnded bool      // net/http has read the head of the request to its end, and nothing behind the request
+	rest      int64     // bytes of the body that net/http has not read; negative before the handler begins: bytes that it has read
+	opaque    bool      // net/http may have read part of the next request
+	arrived   time.Time // when the end of the head was read
+
+	ahead    *readAhead    // nil unless data behind a request has been read
+	current  *http.Request // the request that a handler serves
+	isJudged bool          // isAhead is valid
+	isAhead  bool          // requests may begin behind the current one
+	last     bool          // the answer announces that the connection is closed
 }
 
 // Read implements net.Conn. Once the connection is stopping, it takes nothing from the socket that would begin another request.
+// net/http gets no data behind the current request, as far as its end is known: that data is kept in ahead.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.isFinished() {
+	c.mu.Lock()
+	if c.isWatch(len(p)) {
+		return c.watch(p) // releases the lock
+	}
+	defer c.mu.Unlock()
+	switch {
+	case c.finished():
 		return 0, os.ErrDeadlineExceeded
+	case c.peerClosed:
+		return 0, io.EOF
+	case c.phase >= phaseHandling && !c.opaque && c.rest > 0 && int64(len(p)) > c.rest:
+		p = p[:c.rest]
+	}
+	if c.hasAhead() {
+		n := copy(p, c.ahead.data)
+		n = c.received(p[:n], c.ahead.arrivedAt)
+		c.ahead.consume(n)
+		return n, nil
 	}
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if n > 0 {
-		c.countRead(n)
+		used := c.received(p[:n], now)
+		if used < n {
+			c.keep(p[used:n], c.arrived)
+		}
+		n = used
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.peerClosed = true
@@ -70,24 +104,59 @@
 	return n, err
 }
 
-// countRead counts data of a request. While a handler runs, net/http reads on, in order to notice that the caller closes the
-// connection; what it reads after the body begins the next request. The caller holds the lock.
-func (c *conn) countRead(n int) {
-	switch {
-	case c.phase == phaseWaiting:
-		c.begin(n)
-	case c.phase != phaseReading && c.bodyEnded:
-		c.readAhead += n
-	default:
-		c.bytes += n
+// now is the time of arrival of data that has just been read.
+func now(int) time.Time { return time.Now() }
+
+// received records data that net/http reads and returns how much of it belongs to the current request. arrivedAt returns when the
+// byte before a position of p was read. The caller holds the lock.
+func (c *conn) received(p []byte, arrivedAt func(int) time.Time) int {
+	if c.phase >= phaseHandling {
+		c.rest -= int64(len(p))
+		c.bytes += len(p)
+		return len(p)
+	}
+	first := c.phase == phaseWaiting
+	if first {
+		c.begin(arrivedAt(1))
+	}
+	if c.bytes == 0 && c.opaque {
+		// net/http has read part of this head at most. The scan is exact unless its first byte ends an empty line.
+		c.opaque = p[0] == '\r' || p[0] == '\n'
 	}
+	used := len(p)
+	if end := c.scan.end(p); end >= 0 {
+		used = c.endHead(p, end)
+		c.arrived = c.began
+		if !first {
+			c.arrived = arrivedAt(end)
+		}
+	} else {
+		c.headEnded = false
+	}
+	c.bytes += used
+	return used
 }
 
-// begin records that the first n bytes of a request have been read. The caller holds the lock.
-func (c *conn) begin(n int) {
-	c.phase, c.began, c.bytes, c.pending = phaseReading, time.Now(), n, false
+// endHead records that the first end bytes of p complete the head of the request. It returns how much of p net/http gets: the head
+// and the part of the body that is known to follow. The caller holds the lock.
+func (c *conn) endHead(p []byte, end int) int {
+	used := len(p)
+	if used > end && !c.opaque {
+		if c.bytes > 0 { // the fields may lie in data that net/http has already got
+			used = end
+		} else if body := announcedBody(p[:end]); body >= 0 {
+			used = int(min(int64(used), int64(end)+body))
+		}
+	}
+	c.headEnded, c.rest = true, int64(end-used)
+	return used
+}
+
+// begin records that a request has begun to arrive. The caller holds the lock.
+func (c *conn) begin(at time.Time) {
+	c.phase, c.began, c.bytes, c.pending = phaseReading, at, 0, false
 	if c.stopping { // the data had left the socket when the connection was stopped
-		c.setReadDeadline(c.began.Add(stopReadTimeout))
+		c.setReadDeadline(time.Now().Add(stopReadTimeout))
 	}
 }
 
@@ -122,9 +191,14 @@
 	first := !c.closed
 	c.closed = true
 	report := c.unanswered()
+	c.cancelAll()
+	ended := c.ahead == nil || c.ahead.running == 0 // otherwise the last handler ends the connection
 	c.mu.Unlock()
-	if first {
-		c.server.forget(c, report)
+	if first && report != nil {
+		c.server.report(c, report)
+	}
+	if first && ended {
+		c.server.forget(c)
 	}
 	return c.Conn.Close()
 }
@@ -157,17 +231,28 @@
 	}
 }
 
-// handling records that a handler serves the current request.
-func (c *conn) handling(hasBody bool) {
+// handling records that a handler serves r. If r has begun behind another request, it returns that prepared request.
+func (c *conn) handling(r *http.Request) *prepared {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseWaiting {
 		c.began = time.Now()
 	}
-	c.phase, c.bodyEnded = phaseHandling, !hasBody
+	if !c.headEnded {
+		c.opaque, c.arrived = true, time.Now()
+	}
+	c.rest += r.ContentLength
+	c.opaque = c.opaque || r.ContentLength < 0 || c.rest < 0
+	c.phase, c.bodyEnded, c.current, c.isJudged = phaseHandling, r.Body == http.NoBody, r, false
 	if c.stopping { // the headers were in time
 		c.setReadDeadline(time.Time{})
 	}
+	if c.ahead == nil {
+		return nil
+	}
+	p := c.adopt(r)
+	c.advance()
+	return p
 }
 
 // endBody records that the body of the request has been read to its end.
@@ -199,6 +284,25 @@
 	c.request = id
 }
 
+// isLast records that the answer which now begins may be the last one. asked means that its header announces the close. Without
+// that, it is the last one if the server is leaving and no request has begun behind it.
+func (c *conn) isLast(asked bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if asked {
+		c.drop()
+	}
+	c.last = asked || c.ahead == nil || len(c.ahead.prepared) == 0
+	return c.last
+}
+
+// arrivedAt returns when the head of the current request was read.
+func (c *conn) arrivedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrived
+}
+
 // wait records that the answer is complete and that the connection waits for the next request.
 func (c *conn) wait() {
 	c.mu.Lock()
@@ -207,9 +311,9 @@
 		return // the caller has left, and Close reports its request
 	}
 	c.phase, c.request, c.bytes, c.written = phaseWaiting, "", 0, false
-	if c.readAhead > 0 {
-		c.begin(c.readAhead)
-		c.readAhead = 0
+	c.scan, c.headEnded, c.rest, c.current, c.last = headScanner{}, false, 0, nil, false
+	if c.hasAhead() {
+		c.begin(c.ahead.arrivedAt(1))
 	}
 }
 
--- a/internal/httpserver/conn_stop.go
+++ b/internal/httpserver/conn_stop.go
@@ -19,14 +19,7 @@
 	_ = c.Conn.SetReadDeadline(t) // fails only on a closed socket
 }
 
-// isFinished reports whether the connection is stopping and no request is in progress.
-func (c *conn) isFinished() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.finished()
-}
-
-// finished is isFinished for callers that hold the lock.
+// finished reports whether the connection is stopping and no request is in progress. The caller holds the lock.
 func (c *conn) finished() bool { return c.stopping && c.phase == phaseWaiting && !c.pending }
 
 // stop makes the server close the connection without reading another request. A request of which anything has arrived is answered
--- a/internal/httpserver/harness_test.go
+++ b/internal/httpserver/harness_test.go
@@ -29,13 +29,21 @@
 
 // newSite starts a server. If wrap is not nil, it replaces the server's listener.
 func newSite(t *testing.T, handler http.HandlerFunc, wrap func(net.Listener) net.Listener) *site {
+	t.Helper()
+	return newSiteWith(t, handler, wrap, func(*Options) {})
+}
+
+// newSiteWith is newSite with other options.
+func newSiteWith(t *testing.T, handler http.HandlerFunc, wrap func(net.Listener) net.Listener, change func(*Options)) *site {
 	t.Helper()
 	core, logs := observer.New(zapcore.DebugLevel)
 	s := &site{t: t, logs: logs, served: make(chan error, 1)}
-	s.server = New(Options{
+	options := Options{
 		Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Name: "test", Log: zap.New(core),
 		Registry: metrics.NewRegistry(),
-	})
+	}
+	change(&options)
+	s.server = New(options)
 	socket, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = socket.Addr().String()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,7 +1,8 @@
 // Package httpserver is the HTTP server for callers of both kinds of instance. Unlike the server of net/http it knows of every
 // connection how far its current request has got. It can therefore stop without losing a request, and reports each connection that
-// is closed under a request without a complete answer. Callers must not pipeline requests: a stop cancels a pipelined request that
-// net/http has in its buffer, which is then answered without its result.
+// is closed under a request without a complete answer. Requests that a caller sends ahead of
+// the answer to an earlier one are worked on side by side if Options.Concurrent allows it, and are answered in order. See
+// docs/design/pipelining.md.
 package httpserver
 
 import (
@@ -49,6 +50,12 @@
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may wait for its next request. Zero means no limit.
 	IdleTimeout time.Duration
+	// Concurrent reports whether a request may begin while earlier requests of its connection are unanswered, and others behind it. It
+	// must be fast and is called only for requests without a body of callers that pipeline, also while the handler of the request
+	// runs. If it is nil, requests are worked on one after the other.
+	Concurrent func(*http.Request) bool
+	// PipelineDepth bounds the requests of one connection that are in progress at once. Zero means 8.
+	PipelineDepth int
 	// Name is the prefix of the metrics.
 	Name     string
 	Log      *zap.Logger
@@ -57,12 +64,14 @@
 
 // Server serves HTTP on one listener.
 type Server struct {
-	options Options
-	http    *http.Server
-	open    metrics.Gauge
-	leaving atomic.Bool
-	cancel  func()        // cancels the contexts of all requests, with ErrStopping
-	drained chan struct{} // closed when a stopping server accepts no more connections and the last one has ended
+	options   Options
+	http      *http.Server
+	base      context.Context // the parent of the contexts of all requests
+	open      metrics.Gauge
+	pipelined struct{ begun, waited, dropped metrics.Counter }
+	leaving   atomic.Bool
+	cancel    func()        // cancels the contexts of all requests, with ErrStopping
+	drained   chan struct{} // closed when a stopping server accepts no more connections and the last one has ended
 
 	mu         sync.Mutex
 	socket     net.Listener
@@ -77,11 +86,17 @@
 
 // New returns a server. It registers its metrics in o.Registry.
 func New(o Options) *Server {
+	if o.PipelineDepth == 0 {
+		o.PipelineDepth = defaultDepth
+	}
 	base, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
-		options: o, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry),
+		options: o, base: base, open: metrics.GetOrRegisterGauge(o.Name+".connections_open", o.Registry),
 		cancel: func() { cancel(ErrStopping) }, drained: make(chan struct{}), conns: map[*conn]struct{}{},
 	}
+	s.pipelined.begun = metrics.GetOrRegisterCounter(o.Name+".pipelined.begun", o.Registry)
+	s.pipelined.waited = metrics.GetOrRegisterCounter(o.Name+".pipelined.waited", o.Registry)
+	s.pipelined.dropped = metrics.GetOrRegisterCounter(o.Name+".pipelined.dropped", o.Registry)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: o.ReadHeaderTimeout,
@@ -98,8 +113,24 @@
 
 // Identify tells the server the caller's ID of the request with the context ctx, which its log lines then name.
 func Identify(ctx context.Context, id string) {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
-		c.identify(id)
+	switch request := ctx.Value(connKey{}).(type) {
+	case *conn:
+		request.identify(id)
+	case *prepared:
+		request.identify(id)
+	}
+}
+
+// ArrivedAt returns when the end of the head of the request with the context ctx was read. For a request that waited behind others
+// of its connection, that is earlier than the begin of its handler. It returns false for a context that is not of a request.
+func ArrivedAt(ctx context.Context) (time.Time, bool) {
+	switch request := ctx.Value(connKey{}).(type) {
+	case *conn:
+		return request.arrivedAt(), true
+	case *prepared:
+		return request.at, true
+	default:
+		return time.Time{}, false
 	}
 }
 
@@ -139,21 +170,20 @@
 	}
 }
 
-// forget drops a connection that is being closed. report is nil unless its request has no complete answer.
-func (s *Server) forget(c *conn, report *Unanswered) {
+// forget drops a connection that has been closed and whose handlers have ended.
+func (s *Server) forget(c *conn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.conns, c)
 	s.open.Update(int64(len(s.conns)))
-	stoppingAt := s.stoppingAt
 	s.checkDrained()
-	s.mu.Unlock()
-	if report != nil {
-		s.report(c, report, stoppingAt)
-	}
 }
 
 // report logs and counts a request without a complete answer.
-func (s *Server) report(c *conn, u *Unanswered, stoppingAt time.Time) {
+func (s *Server) report(c *conn, u *Unanswered) {
+	s.mu.Lock()
+	stoppingAt := s.stoppingAt
+	s.mu.Unlock()
 	event := telemetry.EventRequestUnanswered
 	if u.Cause == CauseCallerClosed {
 		event = telemetry.EventRequestLeft
@@ -175,13 +205,16 @@
 	if !ok {
 		panic("request without a tracked connection")
 	}
-	c.handling(r.Body != http.NoBody)
 	if r.Body != http.NoBody {
 		r.Body = trackedBody{ReadCloser: r.Body, conn: c}
 	}
-	answer := &answerWriter{ResponseWriter: w, server: s}
+	answer := &answerWriter{ResponseWriter: w, server: s, conn: c}
 	defer s.recoverPanic(c, answer)
-	s.options.Handler.ServeHTTP(answer, r)
+	if p := c.handling(r); p != nil {
+		p.deliver(answer)
+	} else {
+		s.options.Handler.ServeHTTP(answer, r)
+	}
 	if !answer.started {
 		answer.WriteHeader(http.StatusOK)
 	}
@@ -198,9 +231,11 @@
 	case http.ErrAbortHandler:
 		c.abort(CauseAborted)
 		panic(http.ErrAbortHandler)
+	case errPanicLogged:
+		c.abort(CausePanic)
+	default:
+		s.logPanic(c.abort(CausePanic), cause)
 	}
-	request := c.abort(CausePanic)
-	telemetry.EventHandlerPanicked.Log(s.options.Log, zap.String("request", request), zap.Any("panic", cause), zap.Stack("stack"))
 	if answer.started {
 		panic(http.ErrAbortHandler)
 	}
@@ -210,6 +245,11 @@
 	c.handled()
 }
 
+// logPanic logs a panic of a handler. It is called before the stack of the handler is unwound.
+func (s *Server) logPanic(request string, cause any) {
+	telemetry.EventHandlerPanicked.Log(s.options.Log, zap.String("request", request), zap.Any("panic", cause), zap.Stack("stack"))
+}
+
 // connState follows the states of a connection.
 func connState(socket net.Conn, state http.ConnState) {
 	if c, ok := socket.(*conn); ok && state == http.StateIdle {
--- a/internal/httpserver/stop.go
+++ b/internal/httpserver/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -98,17 +99,22 @@
 	return len(s.conns)
 }
 
-// answerWriter adds the header that announces the close of the connection, as late as possible, to the answers of a leaving server.
+// answerWriter adds the header that announces the close of the connection, as late as possible, to the last answers of a leaving
+// server.
 type answerWriter struct {
 	http.ResponseWriter
 	server  *Server
+	conn    *conn
 	started bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
-	if w.server.leaving.Load() && !w.started {
-		w.Header().Set("Connection", "close")
+	if !w.started && status >= http.StatusOK {
+		asked := asksForClose(w.Header())
+		if (asked || w.server.leaving.Load()) && w.conn.isLast(asked) {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	w.started = w.started || status >= http.StatusOK
 	w.ResponseWriter.WriteHeader(status)
@@ -129,3 +135,9 @@
 	}
 	_ = http.NewResponseController(w.ResponseWriter).Flush() // net/http's writer can always be flushed
 }
+
+// asksForClose reports whether a handler has set the header that announces the close of the connection.
+func asksForClose(h http.Header) bool {
+	values := h["Connection"]
+	return len(values) > 0 && strings.EqualFold(values[0], "close")
+}
