--- a/internal/decide/callerbudget/callerbudget.go
+++ b/internal/decide/callerbudget/callerbudget.go
@@ -142,16 +142,39 @@
 	if bytes <= smallAnswer {
 		return 0
 	}
-	b.mu.Lock()
-	if h.closed || h.isRevoked() {
-		b.mu.Unlock()
-		return 0
+	h.Add(bytes, now)
+	return bytes
+}
+
+// Add adds bytes that the connection holds already. The budget may be exceeded.
+func (h *Holding) Add(bytes int64, now time.Duration) {
+	if h == nil {
+		return
 	}
+	b := h.of
+	b.mu.Lock()
 	victims, _ := b.makeRoom(h, bytes, 0, now)
 	b.add(h, bytes, 0)
 	b.mu.Unlock()
 	victims.cancel()
-	return bytes
+}
+
+// ExpectedAnswer returns the size in bytes that answers have on average, zero if they are small.
+func (b *Budget) ExpectedAnswer() int64 {
+	if expected := b.expected.Load(); expected > smallAnswer {
+		return expected
+	}
+	return 0
+}
+
+// Protect records that a request is handled which has begun before, and protects the connection.
+func (h *Holding) Protect(now time.Duration) bool {
+	if h == nil {
+		return true
+	}
+	h.progress.Store(int64(now))
+	return h.state.CompareAndSwap(int32(Reading), int32(Handling)) || h.state.CompareAndSwap(int32(Idle), int32(Handling)) ||
+		State(h.state.Load()) == Handling
 }
 
 // endRunning records that the answer of the current request has been charged or that there is none.
@@ -206,12 +229,7 @@
 	if h == nil {
 		return true
 	}
-	if !h.of.settle(h, now) {
-		return false
-	}
-	h.progress.Store(int64(now))
-	if !h.state.CompareAndSwap(int32(Reading), int32(Handling)) && !h.state.CompareAndSwap(int32(Idle), int32(Handling)) &&
-		State(h.state.Load()) != Handling {
+	if !h.of.settle(h, now) || !h.Protect(now) {
 		return false
 	}
 	if h.running.CompareAndSwap(false, true) {
@@ -222,10 +240,7 @@
 
 // settle reports whether the budget has room for the answers of all requests in progress and of a further one, and makes room if not.
 func (b *Budget) settle(h *Holding, now time.Duration) bool {
-	var answers int64
-	if expected := b.expected.Load(); expected > smallAnswer {
-		answers = (b.running.Load() + 1) * expected
-	}
+	answers := (b.running.Load() + 1) * b.ExpectedAnswer()
 	if b.used.Load()+answers <= b.limits.Memory {
 		return true
 	}
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -300,9 +300,9 @@
 	g.refuse(refusal)
 }
 
-// begin records that a handler serves a request. It reports false if the request must not run, since it makes room for others or the
-// memory is used up.
-func (g *guard) begin(hasBody bool) bool {
+// begin records that a handler serves a request, or delivers the answer of one that has run ahead. It reports false if the request must
+// not run, since it makes room for others or the memory is used up.
+func (g *guard) begin(hasBody, isPrepared bool) bool {
 	if g == nil {
 		return true
 	}
@@ -313,6 +313,10 @@
 	}
 	g.setOwn(time.Time{})
 	g.mu.Unlock()
+	if isPrepared {
+		g.holding.Protect(g.server.now())
+		return true
+	}
 	return hasBody || g.protect()
 }
 
@@ -331,6 +335,41 @@
 	return !first || g.protect()
 }
 
+// prepare counts the memory of a request that is about to run ahead and has the given head, and returns it. It reports false if the
+// request has to wait for its turn.
+func (g *guard) prepare(head []byte) (int64, bool) {
+	if g == nil {
+		return 0, true
+	}
+	var scan headScan
+	scan.accept(head)
+	if scan.fields > maxFields {
+		return 0, false
+	}
+	cost := int64(headFactor*len(head)+fieldCost*scan.fields) + preparedCost + g.limits.Budget.ExpectedAnswer()
+	if !g.holding.Grow(cost, g.server.now()) {
+		return 0, false
+	}
+	return cost, true
+}
+
+// hold counts bytes of recorded answers. It reports false if there is no memory for them.
+func (g *guard) hold(bytes int) bool { return g == nil || g.holding.Grow(int64(bytes), g.server.now()) }
+
+// release uncounts bytes.
+func (g *guard) release(bytes int64) {
+	if g != nil {
+		g.holding.Shrink(bytes)
+	}
+}
+
+// readsAhead counts the buffer of a connection that pipelines.
+func (g *guard) readsAhead() {
+	if g != nil {
+		g.holding.Add(maxReadAhead, g.server.now())
+	}
+}
+
 // protect keeps a complete request from making room for others.
 func (g *guard) protect() bool {
 	if g.holding.Begin(g.server.now()) {
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -47,6 +47,8 @@
 	// headFactor is for the bytes that were read, the parsed fields, and the copy that is sent to the backend.
 	headFactor = 3
 	fieldCost  = 128 // bytes for the map and the slices of one field
+	// preparedCost is for the goroutine and the recorder of a request that runs ahead.
+	preparedCost = 8 << 10
 )
 
 // Idle timeouts shorten while more than shortIdle of the connections are open, and are those of the configuration from fullIdle on.
@@ -107,10 +109,14 @@
 
 // guardOf returns the guard of the connection of a request, nil if there is none.
 func guardOf(ctx context.Context) *guard {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
-		return c.guard
+	switch request := ctx.Value(connKey{}).(type) {
+	case *conn:
+		return request.guard
+	case *prepared:
+		return request.conn.guard
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Grow counts bytes that a handler is about to hold for the request with the context ctx. It reports false if the limits of the server
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -13,8 +12,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/pollenpier/pollenpier/internal/decide/callerbudget"
 )
@@ -22,18 +19,7 @@
 // newLimitedSite starts a server with limits for its callers.
 func newLimitedSite(t *testing.T, handler http.HandlerFunc, limits callerbudget.Limits, p pace) *site {
 	t.Helper()
-	core, logs := observer.New(zap.DebugLevel)
-	s := &site{t: t, logs: logs, served: make(chan error, 1)}
-	s.server = New(Options{
-		Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Name: "test", Log: zap.New(core),
-		Registry: metrics.NewRegistry(), Limits: &Limits{Budget: callerbudget.New(limits), pace: p},
-	})
-	socket, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	s.address = socket.Addr().String()
-	go func() { s.served <- s.server.Serve(socket) }()
-	t.Cleanup(func() { _ = s.server.Close() })
-	return s
+	return newSiteWith(t, handler, nil, func(o *Options) { o.Limits = &Limits{Budget: callerbudget.New(limits), pace: p} })
 }
 
 // counted returns the value of a counter of the server.
