Give backends' answers 32 MiB again and answer 503 where a complete body finds no room

A complete body for whose request there was no memory was answered 408, which names the wrong cause.

Change: 0.175 of the memory, at most 32 MiB. The largest body at 144 MB is therefore 48 MiB (before: 57 MiB), at 184 MB 66 MiB.

--- a/internal/decide/callerbudget/limits.go
+++ b/internal/decide/callerbudget/limits.go
@@ -23,8 +23,9 @@
 	processMemory = 20 << 20
 	// garbageFactor leaves 15 % of the heap for garbage, so that the collector does not run continuously when the budget is used up.
 	garbageFactor = 1.15
-	// answerFraction is the fraction of the machine's memory for the backends' answers that are being read, at most maxAnswers bytes.
-	answerFraction = 0.12
+	// answerFraction is the fraction of the machine's memory for the backends' answers that are being read, at most maxAnswers bytes. With
+	// 22 MiB instead of 32 at 184 MB, more answers of sound backends were lost beside a backend that floods.
+	answerFraction = 0.175
 	maxAnswers     = 32 << 20
 	// The budget is not below the smaller of minMemory and minFraction of the machine's memory.
 	minMemory   = 4 << 20
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -340,7 +340,7 @@
 	if errors.Is(err, io.EOF) {
 		b.conn.endBody()
 		if !b.conn.guard.endBody() {
-			return 0, os.ErrDeadlineExceeded
+			return 0, ErrNoRoom
 		}
 	}
 	return n, err
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pollenpier/pollenpier/internal/decide/callerbudget"
 )
 
@@ -63,6 +65,9 @@
 	refusalLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
+// ErrNoRoom means that a complete request must not run, since the limits of the server have no room for it.
+var ErrNoRoom = errors.New("no room for the request")
+
 // Limits bounds what a server holds for its callers.
 type Limits struct {
 	Budget *callerbudget.Budget
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -198,3 +198,43 @@
 	}
 	require.Equal(t, defaultIdleTime, l.idleTime(time.Minute))
 }
+
+// Guards against memory that pipelined requests hold and that is not counted, or never returned, and against requests that are lost if
+// there is no memory to run them ahead.
+func TestPipelinedRequestsAreCounted(t *testing.T) {
+	const requests, answer = 6, 32 << 10
+	for name, memory := range map[string]int64{"calm": 16 << 20, "short": 70 << 10} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			s := newSiteWith(t, func(w http.ResponseWriter, _ *http.Request) {
+				<-release
+				_, _ = w.Write(make([]byte, answer))
+			}, nil, func(o *Options) {
+				o.Concurrent = func(*http.Request) bool { return true }
+				o.Limits = &Limits{Budget: callerbudget.New(callerbudget.Limits{Memory: memory})}
+			})
+			budget := s.server.options.Limits.Budget
+			c := s.dial()
+			for i := range requests {
+				c.send(fmt.Sprint(i))
+			}
+			least := int64(callerbudget.ConnectionCost + maxReadAhead)
+			if name == "calm" {
+				least += (requests - 1) * preparedCost
+			}
+			require.Eventually(t, func() bool { bytes, _ := budget.Usage(); return bytes >= least }, 5*time.Second, time.Millisecond)
+			close(release)
+			for range requests {
+				status, err := c.receive()
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+			}
+			require.Eventually(t, func() bool {
+				bytes, _ := budget.Usage()
+				return bytes == callerbudget.ConnectionCost+maxReadAhead
+			}, 5*time.Second, time.Millisecond)
+			require.NoError(t, c.socket.Close())
+			require.Eventually(t, func() bool { bytes, open := budget.Usage(); return bytes == 0 && open == 0 }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
