Require the stated target of the goodput with learned capacities

Cause: the test's bounds were 0.04 below the measured ratios where the target of 0.95 of the oracle's goodput is missed, and a bound on recovery with 195 instances had been lowered after it failed.

--- a/internal/decide/capacity/sim_test.go
+++ b/internal/decide/capacity/sim_test.go
@@ -278,18 +278,16 @@
 	}},
 }
 
-// missed holds the cases in which the goodput of six seeds is less than 0.96 of the oracle's, by load, instances and use, and what is
-// required instead: 0.04 less than measured where the target of 0.95 is missed, as much as two seeds differ by chance, else 0.02 less.
-// With reports that are older than a request, no choice knows what the oracle knows: which backends have a free slot now.
-var missed = map[string]float64{
-	"equal/1/1.1": 0.89, "equal/12/1.1": 0.83, "equal/62/1.1": 0.65, "equal/195/1.1": 0.59,
-	"speeds/12/1.1": 0.84, "speeds/62/0.8": 0.89, "speeds/62/1.1": 0.72, "speeds/195/0.8": 0.86, "speeds/195/1.1": 0.69,
-	"degrading/1/1.1": 0.90, "degrading/12/0.8": 0.88, "degrading/12/1.1": 0.72, "degrading/62/0.8": 0.67,
-	"degrading/62/1.1": 0.54, "degrading/195/0.8": 0.61, "degrading/195/1.1": 0.45,
-	"neighbours/12/0.8": 0.90, "neighbours/12/1.1": 0.76, "neighbours/62/0.3": 0.93, "neighbours/62/0.8": 0.73,
-	"neighbours/62/1.1": 0.59, "neighbours/195/0.3": 0.93, "neighbours/195/0.8": 0.72, "neighbours/195/1.1": 0.52,
-	"slow and back/12/1.1": 0.90, "slow and back/62/0.8": 0.93, "slow and back/62/1.1": 0.75, "slow and back/195/0.8": 0.90,
-	"slow and back/195/1.1": 0.71,
+// missed are the cases, by load, instances and use, in which the target is missed. With reports that are older than a request, no choice
+// knows what the oracle knows: which backends have a free slot now.
+var missed = map[string]bool{
+	"equal/1/1.1": true, "equal/12/1.1": true, "equal/62/1.1": true, "equal/195/1.1": true, "speeds/12/1.1": true,
+	"speeds/62/0.8": true, "speeds/62/1.1": true, "speeds/195/0.8": true, "speeds/195/1.1": true, "degrading/1/1.1": true,
+	"degrading/12/0.8": true, "degrading/12/1.1": true, "degrading/62/0.8": true, "degrading/62/1.1": true,
+	"degrading/195/0.8": true, "degrading/195/1.1": true, "neighbours/12/0.8": true, "neighbours/12/1.1": true,
+	"neighbours/62/0.8": true, "neighbours/62/1.1": true, "neighbours/195/0.8": true, "neighbours/195/1.1": true,
+	"slow and back/12/1.1": true, "slow and back/62/1.1": true,
+	"slow and back/195/1.1": true,
 }
 
 const (
@@ -298,9 +296,9 @@
 	noise = 0.006
 )
 
-// Guards against backends whose capacity differs from their slots and that get more requests than they handle well, and against a
-// choice that is worse than the one without learned capacities.
-func TestGoodputNearTheOracle(t *testing.T) {
+// eachCase plays all cases and calls check with the goodput of each choice.
+func eachCase(t *testing.T, check func(name string, good [oracle + 1]float64)) {
+	t.Helper()
 	for _, load := range loads {
 		for _, instances := range []int{1, 12, 62, 195} {
 			for _, use := range []float64{0.3, 0.8, 1.1} {
@@ -311,40 +309,65 @@
 					}
 				}
 				name := fmt.Sprintf("%s/%d/%.1f", load.name, instances, use)
-				ratio := good[learned] / good[oracle]
 				t.Logf("%-22s today %.3f learned %.3f weights %.3f oracle %.3f learned/oracle %.3f",
-					name, good[today], good[learned], good[weights], good[oracle], ratio)
-				floor, ok := missed[name]
-				if !ok {
-					floor = required
-				}
-				assert.GreaterOrEqual(t, ratio, floor, name)
-				assert.GreaterOrEqual(t, good[learned], good[today]-noise, name)
+					name, good[today], good[learned], good[weights], good[oracle], good[learned]/good[oracle])
+				check(name, good)
 			}
 		}
 	}
 }
 
+// Guards against backends whose capacity differs from their slots and that get more requests than they handle well, and against a
+// choice that is worse than the one without learned capacities.
+func TestGoodputNearTheOracle(t *testing.T) {
+	eachCase(t, func(name string, good [oracle + 1]float64) {
+		if !missed[name] {
+			assert.GreaterOrEqual(t, good[learned]/good[oracle], required, name)
+		}
+		assert.GreaterOrEqual(t, good[learned], good[today]-noise, name)
+	})
+}
+
+// Guards against the same, also in the cases in which the target is missed.
+func TestGoodputNearTheOracleInAllCases(t *testing.T) {
+	eachCase(t, func(name string, good [oracle + 1]float64) {
+		assert.GreaterOrEqual(t, good[learned]/good[oracle], required, name)
+	})
+}
+
+// recoveredShare is the least part of the requests of a backend that was never slow which a recovered one must get after 2 s.
+const recoveredShare = 0.6
+
 // Guards against a backend that gets hardly any requests for long after it has recovered.
 func TestRecoveredBackendIsUsedWithinTwoSeconds(t *testing.T) {
-	// With 195 instances, whose reports are 2 s old and averaged over 6 s, the goal is missed.
-	for instances, floor := range map[int]float64{1: 0.6, 12: 0.6, 62: 0.6, 195: 0.3} {
-		recovered, others := 0, 0
-		for seed := range uint64(5) {
-			s := newSim(loads[len(loads)-1], learned, instances, seed)
-			s.run(0.8, 14*time.Second, seed)
-			s.received = make([]int, simBackends)
-			s.run(0.8, 16*time.Second, seed+1)
-			for i, n := range s.received {
-				if i%4 == 0 {
-					recovered += n
-				} else {
-					others += n
-				}
+	for _, instances := range []int{1, 12, 62} {
+		require.Greater(t, shareOfRecovered(t, instances), recoveredShare)
+	}
+}
+
+// Guards against the same in a deployment whose reports are 2 s old.
+func TestRecoveredBackendIsUsedInALargeDeployment(t *testing.T) {
+	require.Greater(t, shareOfRecovered(t, 195), recoveredShare)
+}
+
+// shareOfRecovered returns the requests of a recovered backend relative to those of one that was never slow.
+func shareOfRecovered(t *testing.T, instances int) float64 {
+	t.Helper()
+	recovered, others := 0, 0
+	for seed := range uint64(5) {
+		s := newSim(loads[len(loads)-1], learned, instances, seed)
+		s.run(0.8, 14*time.Second, seed)
+		s.received = make([]int, simBackends)
+		s.run(0.8, 16*time.Second, seed+1)
+		for i, n := range s.received {
+			if i%4 == 0 {
+				recovered += n
+			} else {
+				others += n
 			}
 		}
-		share := 3 * float64(recovered) / float64(others) // of a backend that was never slow
-		t.Logf("%3d instances: %.2f", instances, share)
-		require.Greater(t, share, floor)
 	}
+	share := 3 * float64(recovered) / float64(others)
+	t.Logf("%3d instances: %.2f", instances, share)
+	return share
 }
