--- a/internal/service/router/forecast.go
+++ b/internal/service/router/forecast.go
@@ -55,12 +55,7 @@
 	if c.service.Partitioned {
 		usable = s.forecastOwner(c, &t)
 	} else {
-		for _, b := range c.view.Services[c.service.Name] {
-			if !b.Draining && !c.view.Evacuated[b.Zone] {
-				usable = append(usable, b)
-			}
-		}
-		if len(usable) == 0 {
+		if usable = s.forecastCandidates(c); len(usable) == 0 {
 			t.Refused = entity.NotRun(entity.ReasonNoOwner, "no backend accepts new requests")
 		}
 	}
@@ -76,6 +71,26 @@
 	return t
 }
 
+// forecastCandidates returns the backends that accept new requests. While a rollout compares versions, those are the backends of the old
+// one: few requests go to the new version, and to ask for that would count as one of them.
+func (s *Service) forecastCandidates(c *request) []*catalog.Backend {
+	usable, state := s.usable(c), s.rolloutState(c)
+	if state == nil {
+		return usable
+	}
+	wantsNew := state.Phase == service.RolloutSwitching || state.Phase == service.RolloutCompleted
+	var wanted []*catalog.Backend
+	for _, b := range usable {
+		if state.IsNew(b) == wantsNew {
+			wanted = append(wanted, b)
+		}
+	}
+	if len(wanted) == 0 {
+		return usable
+	}
+	return wanted
+}
+
 // forecastOwner returns the owner of the key, without the wait for a key that is moving.
 func (s *Service) forecastOwner(c *request, t *service.TargetForecast) []*catalog.Backend {
 	if !c.call.HasKey {
