--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -72,7 +72,8 @@
 	open      metrics.Gauge
 	pipelined struct{ begun, waited, dropped metrics.Counter }
 	leaving   atomic.Bool
-	cancel    func() // cancels the contexts of all requests, with ErrStopping
+	closing   atomic.Bool // connections are closed at once
+	cancel    func()      // cancels the contexts of all requests, with ErrStopping
 	began     time.Time
 	// held and admitted say how much of the limits is in use.
 	held, admitted metrics.Gauge
@@ -220,7 +221,7 @@
 	if r.Body != http.NoBody {
 		r.Body = trackedBody{ReadCloser: r.Body, conn: c}
 	}
-	answer := &answerWriter{ResponseWriter: w, server: s, conn: c}
+	answer := &answerWriter{ResponseWriter: w, conn: c}
 	defer s.recoverPanic(c, answer)
 	prepared := c.handling(r)
 	hasBegun := c.guard.begin(r.Body != http.NoBody, prepared != nil)
--- a/internal/telemetry/catalogue_httpserver.go
+++ b/internal/telemetry/catalogue_httpserver.go
@@ -8,8 +8,9 @@
 	EventRequestLeft       = define(2301, zapcore.DebugLevel, "caller closed its connection before its request was answered")
 	EventHandlerPanicked   = define(2302, zapcore.ErrorLevel, "handler of a request panicked")
 	EventHTTPServerProblem = define(2303, zapcore.WarnLevel, "HTTP server reported a problem")
-	EventPreparedDropped   = define(2304, zapcore.DebugLevel, "requests that had begun behind an unanswered one dropped")
-	EventPreparedMismatch  = define(2305, zapcore.ErrorLevel, "prepared answer belongs to another request than the one that was read")
+	EventPreparedLeft      = define(2304, zapcore.DebugLevel, "caller closed its connection while requests behind the current one were being served")
+	EventPreparedDropped   = define(2305, zapcore.InfoLevel, "connection closed before the answers of requests that were served behind the current one")
+	EventPreparedMismatch  = define(2306, zapcore.ErrorLevel, "prepared answer belongs to another request than the one that was read")
 
 	EventCallerLimits            = define(2310, zapcore.InfoLevel, "limits for callers in force")
 	EventConnectionRefused       = define(2311, zapcore.WarnLevel, "caller's connection refused, since connections or memory are used up")
