--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -329,7 +329,7 @@
 	}
 	c.phase, c.request, c.bytes, c.written = phaseWaiting, "", 0, false
 	c.scan, c.headEnded, c.rest, c.current, c.last = headScanner{}, false, 0, nil, false
-	c.guard.wait(c.hasAhead())
+	c.guard.wait(c.hasAhead() || !c.early.IsZero())
 	switch {
 	case !c.early.IsZero():
 		c.begin(c.early)
@@ -341,6 +341,7 @@
 		c.begin(c.ahead.arrivedAt(1))
 	case c.ahead != nil && c.ahead.running == 0:
 		c.ahead = nil
+		c.guard.release(maxReadAhead)
 	}
 }
 
