--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // readPiece is how much of an answer a caller reads at once, in bytes.
@@ -25,16 +28,37 @@
 	rate   int // bytes of an answer that it reads in a second, or asTheyCome
 }
 
+// Callers that do not read answers as fast as they come have small windows, and segments of the size that networks other than loopback
+// have. Otherwise the sockets on loopback hold megabytes of an answer.
+const (
+	window  = 16 << 10 // bytes
+	segment = 1400     // bytes
+)
+
 func dial(r *record, n *instance, rate int) (*caller, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", net.JoinHostPort(n.ip, frontPort))
+	var dialer net.Dialer
+	if rate != asTheyCome {
+		dialer.Control = setWindow
+	}
+	conn, err := dialer.DialContext(ctx, "tcp4", net.JoinHostPort(n.ip, frontPort))
 	if err != nil {
 		return nil, err
 	}
 	return &caller{record: r, conn: conn, reader: bufio.NewReaderSize(conn, readPiece), rate: rate}, nil
 }
 
+// setWindow sets the window and the size of segments before the connection is opened.
+func setWindow(_, _ string, socket syscall.RawConn) error {
+	var failed error
+	err := socket.Control(func(fd uintptr) {
+		failed = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, window),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segment))
+	})
+	return errors.Join(err, failed)
+}
+
 func (c *caller) close() { _ = c.conn.Close() } // what came is in the record
 
 // send sends one request for a download.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 
 var plays = map[string]play{
 	"memory": playMemory,
+	"stop":   playStop,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
