--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -152,7 +152,7 @@
 	<-exited
 }
 
-// memory returns the resident memory of the current process in bytes, zero if it has ended.
+// memory returns the anonymous memory of the current process in bytes, without files such as the program itself; zero if it has ended.
 func (n *instance) memory() int64 {
 	p, _ := n.process()
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.Pid))
@@ -160,14 +160,15 @@
 		return 0
 	}
 	fields := strings.Fields(string(raw))
-	if len(fields) < 2 {
+	if len(fields) < 3 {
 		return 0
 	}
-	pages, err := strconv.ParseInt(fields[1], 10, 64)
-	if err != nil {
+	resident, err := strconv.ParseInt(fields[1], 10, 64)
+	shared, err2 := strconv.ParseInt(fields[2], 10, 64)
+	if err != nil || err2 != nil {
 		return 0
 	}
-	return pages * int64(os.Getpagesize())
+	return (resident - shared) * int64(os.Getpagesize())
 }
 
 // awaitReady waits until the instance says that it is ready.
