--- a/review/rig2/entry.go
+++ b/review/rig2/entry.go
@@ -17,6 +17,7 @@
 	readTime       = 1500 * time.Millisecond // in which the instances read an entry
 	drainTime      = 3 * time.Second         // from the report that a server drains to its end
 	restTime       = 500 * time.Millisecond  // until the next server is replaced
+	awayTime       = 2 * time.Second         // from the end of a process to the start of the next one
 	lookupPause    = 20 * time.Millisecond
 	keyStep        = 997 // from the key of one lookup to the next
 	keySpace       = 1 << 16
@@ -145,7 +146,7 @@
 		c.mu.Lock()
 		c.ends[n.name]++
 		c.mu.Unlock()
-		if !c.pause(restartDelay) {
+		if !c.pause(awayTime) {
 			return
 		}
 		if err := n.start(); err != nil {
