--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -12,44 +12,36 @@
 	"github.com/pollenpier/pollenpier/platform/standin"
 )
 
-// The service and the route of the cases: downloads, as in the site file demands/sortwise-hobart-grown.toml.
+// The service and the route of the case: lookups, as in the site file sites/zieds-gw.toml.
 const (
-	serviceName  = "manifests"
-	routeHost    = "manifests.example"
-	routePrefix  = "/m/"
+	serviceName  = "stock"
+	routeHost    = "stock.example"
+	routePrefix  = "/s/"
 	healthPath   = "/healthz"
-	timeBudget   = 6 * time.Second
-	workTime     = 160 * time.Millisecond
-	slots        = 4
+	timeBudget   = 2 * time.Second
+	workTime     = 20 * time.Millisecond
+	slots        = 2
 	readyTimeout = 10 * time.Second
 )
 
-// deployment is the store, the backend servers and the instances of a case.
+// deployment is the store, the backend servers and the instances of the case.
 type deployment struct {
 	record    *record
 	dir       string
 	store     *standin.Store
 	endpoints []*endpoint
 	instances []*instance
-	cleanups  []func() // of further backend servers
-}
-
-// layout is the size of a deployment.
-type layout struct {
-	instances, endpoints, answerBytes int
-	machine                           machine
-	sharded                           bool // the service is divided by key; the case starts its backend servers
 }
 
 // newDeployment starts a deployment and waits until all instances are ready.
-func newDeployment(r *record, l layout) (*deployment, error) {
+func newDeployment(r *record, instances, endpoints int, m machine) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "pollenpier-review-")
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{record: r, dir: dir}
 	d.closeOnSignal()
-	if err := d.start(l); err != nil {
+	if err := d.start(instances, endpoints, m); err != nil {
 		d.close()
 		return nil, err
 	}
@@ -67,27 +59,27 @@
 	}()
 }
 
-func (d *deployment) start(l layout) error {
+func (d *deployment) start(instances, endpoints int, m machine) error {
 	var err error
 	if d.store, err = standin.NewStore("127.0.0.1"); err != nil {
 		return err
 	}
-	if err := d.publishConfig(l.sharded); err != nil {
+	if err := d.publishConfig(); err != nil {
 		return err
 	}
-	for i := range l.endpoints {
-		e, err := startEndpoint(d.record, d.store, fmt.Sprintf("i-%d", i), slots, workTime, l.answerBytes)
+	for i := range endpoints {
+		e, err := startEndpoint(d.record, d.store, fmt.Sprintf("i-%d", i))
 		if err != nil {
 			return err
 		}
 		d.endpoints = append(d.endpoints, e)
 	}
-	base, err := freeBase(l.instances)
+	base, err := freeBase(instances)
 	if err != nil {
 		return err
 	}
-	for i := range l.instances {
-		n, err := newInstance(d.record, d.dir, d.store.Address(), base, i, l.machine)
+	for i := range instances {
+		n, err := newInstance(d.record, d.dir, d.store.Address(), base, i, m)
 		if err != nil {
 			return err
 		}
@@ -96,13 +88,6 @@
 		}
 		d.instances = append(d.instances, n)
 	}
-	if l.sharded {
-		return nil // the instances are ready when the keys have owners
-	}
-	return d.awaitReady()
-}
-
-func (d *deployment) awaitReady() error {
 	for _, n := range d.instances {
 		if !n.awaitReady(readyTimeout) {
 			return errors.New("an instance is not ready")
@@ -113,19 +98,15 @@
 }
 
 // publishConfig writes the operator's configuration.
-func (d *deployment) publishConfig(sharded bool) error {
-	kind := "download"
-	if sharded {
-		kind = "safe"
-	}
+func (d *deployment) publishConfig() error {
 	raw, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
-			"name": "manifests", "host": routeHost, "pathPrefix": routePrefix, "kind": kind, "timeoutS": timeBudget.Seconds(),
-			"targetLatencyS": 1, "priority": 2, "service": serviceName, "maxAttempts": 2,
+			"name": "lookups", "host": routeHost, "pathPrefix": routePrefix, "kind": "safe", "timeoutS": 1,
+			"targetLatencyS": 0.3, "priority": 2, "service": serviceName, "maxAttempts": 2,
 		}},
 		"services": []any{map[string]any{
-			"name": serviceName, "healthCheckPath": healthPath, "maxConnections": 460, "warmupS": 3, "warmupPerS": 6.6, "sharded": sharded,
+			"name": serviceName, "healthCheckPath": healthPath, "maxConnections": 130, "warmupS": 3, "warmupPerS": 6.6, "sharded": true,
 		}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
 		"tenants": []any{},
@@ -146,9 +127,6 @@
 	for _, e := range d.endpoints {
 		e.close()
 	}
-	for _, f := range d.cleanups {
-		f()
-	}
 	if d.store != nil {
 		d.store.Close()
 	}
--- a/review/rig2/entry.go
+++ b/review/rig2/entry.go
@@ -1,26 +1,25 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
-
-	"github.com/pollenpier/pollenpier/platform/standin"
 )
 
 // Size and times of the case.
 const (
-	entryInstances = 3
-	owners         = 6
-	entryTime      = 95 * time.Second
-	readTime       = 1500 * time.Millisecond // in which the instances read an entry
-	drainTime      = 3 * time.Second         // from the report that a server drains to its end
-	restTime       = 500 * time.Millisecond  // until the next server is replaced
-	awayTime       = 2 * time.Second         // from the end of a process to the start of the next one
-	lookupPause    = 20 * time.Millisecond
-	keyStep        = 997 // from the key of one lookup to the next
-	keySpace       = 1 << 16
+	instances    = 3
+	owners       = 6
+	playTime     = 96 * time.Second
+	writerTime   = 4 * time.Second       // for which one other writer writes its entry
+	silentTime   = 3 * heartbeat         // after which the platform removes an entry that is not written again
+	awayTime     = 2 * time.Second       // from the end of a process to the start of the next one
+	lookupPause  = 15 * time.Millisecond // of each caller
+	busyTime     = 5 * time.Second       // after which other keys are busy
+	busyKeys     = 60
+	busyShare    = 0.43 // of the lookups
+	callersOfOne = 2    // callers of each instance
 )
 
 // What the rule on faults calls too much: how often the processes of one machine end by themselves, and the number of such machines.
@@ -29,115 +28,67 @@
 	minBrokenMachines = 2
 )
 
-// oddName is the beginning of the names under which another writer leaves its entries. They are not text: 0xff is in no UTF-8 string.
+// oddName is the beginning of the names under which other writers leave their entries. They are not text: 0xff is in no UTF-8 string.
 const oddName = "i-\xff"
 
 // firstOddPort is the port in the first of these entries. No process listens there; each entry has another one.
 const firstOddPort = 2
 
-// smallSite is the machine of the site file sites/zieds-gw.toml.
-var smallSite = machine{memoryMB: 284, descriptors: 4100, cores: 0.32}
+// siteMachine is the machine of the site file sites/zieds-gw.toml.
+var siteMachine = machine{memoryMB: 284, descriptors: 4100, cores: 0.32, linkMbps: 1000}
 
 // entryCase is the state of the case.
 type entryCase struct {
 	*deployment
-	executions *standin.ExecutionLog
-	servers    []*standin.Server
-	started    int
-	stop       chan struct{}
-	running    sync.WaitGroup
+	stop    chan struct{}
+	running sync.WaitGroup
 
 	mu   sync.Mutex
 	ends map[string]int // by instance: how often a process ended by itself
 }
 
-// playEntry replaces the backend servers of a service that is divided by key one after the other, while another writer leaves an entry
-// with an unreadable name among theirs. The rule is broken if the processes of two machines end by themselves three times.
+// playEntry looks keys up, some of which are busy, while other writers leave entries with unreadable names among those of the backend
+// servers. The rule is broken if the processes of two machines end by themselves three times.
 func playEntry(r *record, trouble bool) (bool, error) {
-	d, err := newDeployment(r, layout{instances: entryInstances, machine: smallSite, sharded: true})
+	d, err := newDeployment(r, instances, owners, siteMachine)
 	if err != nil {
 		return false, err
 	}
 	defer d.close()
-	c := &entryCase{deployment: d, executions: &standin.ExecutionLog{}, stop: make(chan struct{}), ends: map[string]int{}}
-	d.cleanups = append(d.cleanups, c.crashServers)
-	for range owners {
-		if err := c.addServer(); err != nil {
-			return false, err
-		}
-	}
-	if err := d.awaitReady(); err != nil {
-		return false, err
-	}
+	c := &entryCase{deployment: d, stop: make(chan struct{}), ends: map[string]int{}}
 	for _, n := range d.instances {
 		c.running.Go(func() { c.restart(n) })
-		c.running.Go(func() { c.lookUp(n) })
+		for i := range callersOfOne {
+			c.running.Go(func() { c.call(n, i) })
+		}
 	}
-	err = c.replaceServers(trouble)
+	if trouble {
+		c.running.Go(c.leaveOddEntries)
+	}
+	time.Sleep(playTime)
 	close(c.stop)
 	c.running.Wait()
-	return c.judge(), err
-}
-
-func (c *entryCase) addServer() error {
-	s, err := standin.NewServer("127.0.0.1", standin.ServerOptions{
-		ID: fmt.Sprintf("i-%d", c.started), Service: serviceName, Zone: "a", Sharded: true, Slots: slots, Work: workTime / 8,
-	}, c.store, c.executions)
-	if err != nil {
-		return err
-	}
-	c.record.printf("backend server %s started", s.ID)
-	c.started++
-	c.servers = append(c.servers, s)
-	return nil
+	return c.judge(), nil
 }
 
-func (c *entryCase) crashServers() {
-	for _, s := range c.servers {
-		s.Crash()
-	}
-}
-
-// replaceServers replaces the servers in turn: a new one starts, and the oldest one drains and ends. With trouble, another writer leaves an
-// entry before each.
-func (c *entryCase) replaceServers(trouble bool) error {
-	end := time.Now().Add(entryTime)
-	for i := 0; time.Now().Before(end); i++ {
-		if trouble {
-			if err := c.leaveOddEntry(i); err != nil {
-				return err
+// leaveOddEntries lets one writer after the other write an entry under a name that cannot be read. The platform removes it when its writer
+// is silent.
+func (c *entryCase) leaveOddEntries() {
+	for i := 0; c.pause(heartbeat); i++ {
+		name, born, last := fmt.Sprintf("%s%d", oddName, i), time.Now().UnixMilli(), time.Now().Add(writerTime)
+		c.record.printf("another writer leaves an entry under the name %q", name)
+		for sequence := 1; time.Now().Before(last); sequence++ {
+			raw, err := encodeEntry(fmt.Sprintf("127.0.0.1:%d", firstOddPort+i), born, sequence)
+			if err != nil {
+				return
+			}
+			c.store.Put(topicServers, name, raw)
+			if !c.pause(heartbeat) {
+				return
 			}
 		}
-		time.Sleep(readTime)
-		if err := c.addServer(); err != nil {
-			return err
-		}
-		oldest := c.servers[0]
-		c.servers = c.servers[1:]
-		c.record.printf("backend server %s drains", oldest.ID)
-		oldest.Drain()
-		time.Sleep(drainTime)
-		c.record.printf("backend server %s has ended", oldest.ID)
-		oldest.Remove()
-		time.Sleep(restTime)
+		time.AfterFunc(silentTime, func() { c.store.Put(topicServers, name, nil) })
 	}
-	return nil
-}
-
-// leaveOddEntry writes an entry under a name that cannot be read.
-func (c *entryCase) leaveOddEntry(i int) error {
-	name := fmt.Sprintf("%s%d", oddName, i)
-	raw, err := json.Marshal(map[string]any{
-		"address": fmt.Sprintf("127.0.0.1:%d", firstOddPort+i), "born": time.Now().UnixMilli(),
-		"info":   map[string]any{"service": serviceName, "version": "v1", "zone": "a", "slots": slots},
-		"status": map[string]any{"phase": "ready", "sequence": 1, "warmupLeftS": 0},
-	})
-	if err != nil {
-		return err
-	}
-	c.record.printf("another writer leaves an entry under the name %q", name)
-	c.store.Put("keyed.servers", name, raw)
-	return nil
 }
 
 // restart starts the instance again when its process has ended by itself, as the platform does.
@@ -162,20 +113,15 @@
 	}
 }
 
-// lookUp sends one request after the other to an instance, each with another key.
-func (c *entryCase) lookUp(n *instance) {
+// call sends one lookup after the other to an instance.
+func (c *entryCase) call(n *instance, index int) {
 	for i := 0; c.pause(lookupPause); i++ {
-		id := fmt.Sprintf("%s-%d", n.name, i)
-		conn, err := dial(c.record, n, asTheyCome)
-		if err != nil {
-			c.record.printf("%s was not sent: %v", id, err)
-			continue
-		}
-		sent := time.Now()
-		if conn.sendKeyed(id, i*keyStep%keySpace) == nil {
-			conn.receive(id, sent)
+		key := rand.IntN(keySpace)      //nolint:gosec // any key will do
+		if rand.Float64() < busyShare { //nolint:gosec // as above
+			spell := int(time.Since(c.record.started) / busyTime)
+			key = (spell*9973 + rand.IntN(busyKeys)) % keySpace //nolint:gosec // as above
 		}
-		conn.close()
+		lookUp(c.record, n, fmt.Sprintf("%s-%d-%d", n.name, index, i), key)
 	}
 }
 
@@ -197,6 +143,5 @@
 			broken++
 		}
 	}
-	c.record.printf("%d requests have run", len(c.executions.Runs()))
 	return broken >= minBrokenMachines
 }
--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -10,8 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,14 +30,9 @@
 	memoryMB    int
 	descriptors int
 	cores       float64
+	linkMbps    float64
 }
 
-// smallMachine is the smallest kind of machine in the site file demands/sortwise-hobart-grown.toml.
-var smallMachine = machine{memoryMB: 144, descriptors: 3075, cores: 0.12}
-
-// graceTime is the time from SIGTERM to SIGKILL.
-const graceTime = 6 * time.Second
-
 // instance is one instance of the program. Its processes follow one another.
 type instance struct {
 	name, ip, settings string
@@ -85,7 +78,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"self": map[string]any{
 			"nodeName": n.name, "role": "router", "machineClass": "front", "serves": []string{"front"}, "ip": n.ip, "zone": "a", "region": "r",
-			"limits": map[string]any{"cpuShare": m.cores, "cpuSpeed": 1, "memoryMb": m.memoryMB, "maxFds": m.descriptors, "linkMbps": 10.0},
+			"limits": map[string]any{"cpuShare": m.cores, "cpuSpeed": 1, "memoryMb": m.memoryMB, "maxFds": m.descriptors, "linkMbps": m.linkMbps},
 		},
 		"network": map[string]any{
 			"listenAddresses":   map[string]any{"front": net.JoinHostPort(n.ip, frontPort), "ready": net.JoinHostPort(n.ip, readyPort)},
@@ -93,8 +86,8 @@
 		},
 		"platform": map[string]any{"heartbeatS": heartbeat.Seconds(), "platform": map[string]any{"address": store, "form": "log"}},
 		"terms": map[string]any{"bounds": map[string]any{
-			"holdMaxS": 10, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 172, "graceS": graceTime.Seconds(), "configApplyS": 2.5,
-			"drainS": 2.5, "contactS": 3, "lossSlackS": 0.2,
+			"holdMaxS": 10, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 64, "graceS": 6, "configApplyS": 2,
+			"drainS": 2, "contactS": 3, "lossSlackS": 0.2,
 		}},
 	})
 	if err != nil {
@@ -152,25 +145,6 @@
 	<-exited
 }
 
-// memory returns the anonymous memory of the current process in bytes, without files such as the program itself; zero if it has ended.
-func (n *instance) memory() int64 {
-	p, _ := n.process()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.Pid))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(raw))
-	if len(fields) < 3 {
-		return 0
-	}
-	resident, err := strconv.ParseInt(fields[1], 10, 64)
-	shared, err2 := strconv.ParseInt(fields[2], 10, 64)
-	if err != nil || err2 != nil {
-		return 0
-	}
-	return (resident - shared) * int64(os.Getpagesize())
-}
-
 // awaitReady waits until the instance says that it is ready.
 func (n *instance) awaitReady(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
