Report a reset during an upload to the reader of the answer

Seen by callers: a backend answered a long upload at once with status 200 and no length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole answer.

Cause: the kernel reports a reset to one system call only. If the writer of the request gets ECONNRESET, the reader gets an end of the stream, which is how an answer without a length ends. With two calls on one socket: write ECONNRESET, write EPIPE, read end of stream.

Ruled out: answers with a length or in chunks (recognised as cut), requests below 8 KB (written before the answer is read), answers of the product's own backend protocol, which need a length or chunks (TestAnswerResetDuringTheUploadIsBroken passes before the change), answers between instances (end frame).

Change: the HTTP clients use network.Stream, whose reader returns an end of the stream only if no write got an error that ended the connection. It ends a write in progress first, since that may have got the error already. EPIPE is no such error: the kernel returns it for a reset that follows the end of the peer's stream, so the answer is whole.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -141,7 +141,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:         c.settings.Dial.WithTimeout(c.settings.DialTimeout),
+		DialContext:         c.settings.Dial.WithTimeout(c.settings.DialTimeout).WithStreams(),
 		Protocols:           protocols,
 		DisableCompression:  true,
 		MaxConnsPerHost:     connections,
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/pollenpier/pollenpier/internal/network"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes. Most answers fit into it.
@@ -26,6 +28,7 @@
 // conn is one connection with its read buffer.
 type conn struct {
 	socket    net.Conn
+	stream    *network.Stream // carries all data over socket
 	address   string
 	source    *source
 	reader    *bufio.Reader // reads from source
@@ -39,8 +42,11 @@
 }
 
 func newConn(socket net.Conn, address string, idleTime time.Duration) *conn {
-	from := &source{socket: socket}
-	return &conn{socket: socket, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer), idleTime: idleTime}
+	stream := network.NewStream(socket)
+	from := &source{stream: stream}
+	return &conn{
+		socket: socket, stream: stream, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer), idleTime: idleTime,
+	}
 }
 
 // mayCarry reports whether a repeated answer to an earlier request on the connection cannot be taken for the answer to a request.
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -91,7 +91,7 @@
 func (p *Pool) exchange(c *conn, r *Request) (*Response, bool, error) {
 	head := r.encodeHead()
 	if len(r.Body) < concurrentWrite {
-		if n, err := c.socket.Write(append(head, r.Body...)); err != nil {
+		if n, err := c.stream.Write(append(head, r.Body...)); err != nil {
 			if n == 0 {
 				return nil, false, errors.Join(ErrNotSent, err)
 			}
@@ -102,7 +102,7 @@
 	written := make(chan error, 1)
 	go func() {
 		parts := net.Buffers{head, r.Body} // a large body is not copied
-		_, err := parts.WriteTo(c.socket)
+		_, err := parts.WriteTo(c.stream)
 		written <- err
 	}()
 	response, reusable, err := p.read(c, r)
--- a/internal/h1/source.go
+++ b/internal/h1/source.go
@@ -1,18 +1,18 @@
 package h1
 
 import (
-	"net"
-
 	"github.com/go-faster/errors"
+
+	"github.com/pollenpier/pollenpier/internal/network"
 )
 
 // errNoBytesLeft is returned by a source whose limit has been reached.
 var errNoBytesLeft = errors.New("limit of an answer reached")
 
-// source reads a socket up to a limit. It remembers whether reading ended at the limit or with an error of the socket, since
+// source reads a stream up to a limit. It remembers whether reading ended at the limit or with an error of the stream, since
 // the parser of net/http reports both as errors of its own.
 type source struct {
-	socket   net.Conn
+	stream   *network.Stream
 	left     int64 // bytes that may still be read
 	head     headScan
 	exceeded bool
@@ -25,7 +25,7 @@
 		s.exceeded = true
 		return 0, errNoBytesLeft
 	}
-	n, err := s.socket.Read(p[:min(int64(len(p)), s.left)])
+	n, err := s.stream.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
 	if s.head.active && !s.head.accept(p[:n]) {
 		s.exceeded = true
--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -83,7 +83,7 @@
 	setDefault(&s.ReadTimeout, DefaultReadTimeout)
 	setDefault(&s.DialTimeout, DefaultDialTimeout)
 	transport := &http.Transport{
-		DialContext:         s.Dial.WithTimeout(s.DialTimeout),
+		DialContext:         s.Dial.WithTimeout(s.DialTimeout).WithStreams(),
 		MaxIdleConnsPerHost: 8, // two long polls, an append to each stream, the list, and spare ones for bursts
 		IdleConnTimeout:     time.Minute,
 
