Refuse answers with an invalid header name

Answers with a control byte in a name were refused before (502).

Cause: net/http refuses control bytes in names but accepts blanks. A name with a blank inside or at its end counts as another field, so its length delimits nothing; a line that begins with a blank is appended to the value of the line before.

Change: all HTTP clients end the exchange at a name that is not a token, in the head or in a trailer (httpheader.CheckNames), as they do at an invalid status: an order is answered 502, a request that may be repeated is sent again. The client of internal/h1 does the same at a line that begins with a blank, since it cannot be told whether that belongs to the value before. RFC 9112, section 5.2, allows a proxy to answer 502 then. The check looks at what net/http has parsed and at the bytes of the head, so names that are unusual but legal, and blanks in values, pass as before.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -41,7 +41,7 @@
 		StartID: resp.Header.Get(wire.HeaderStartID),
 		Header:  answerHeader(resp.Header),
 		Length:  resp.ContentLength,
-		Body:    &answerBody{body: resp.Body, framed: framed(resp, call.Method)},
+		Body:    &answerBody{resp: resp, framed: framed(resp, call.Method)},
 	}
 	return answer, nil
 }
@@ -53,8 +53,8 @@
 	if echoedID != "" && echoedID != call.RequestID {
 		return &Failure{Kind: FailureMismatch, Cause: errors.Errorf("it answers request %q", echoedID)}
 	}
-	if !httpstatus.IsValid(resp.StatusCode) {
-		return &Failure{Kind: FailureBroken, Cause: invalidStatus(resp)}
+	if err := validate(resp); err != nil {
+		return &Failure{Kind: FailureBroken, Cause: err}
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return &Failure{Kind: FailureBroken, Cause: errSwitchedProtocols}
@@ -73,9 +73,12 @@
 	}
 }
 
-// invalidStatus returns the error for an answer that has no HTTP status.
-func invalidStatus(resp *http.Response) error {
-	return errors.Errorf("status %d is no HTTP status", resp.StatusCode)
+// validate returns an error for a response that is not valid HTTP although net/http has parsed it.
+func validate(resp *http.Response) error {
+	if !httpstatus.IsValid(resp.StatusCode) {
+		return errors.Errorf("status %d is no HTTP status", resp.StatusCode)
+	}
+	return httpheader.CheckNames(resp.Header, resp.Trailer)
 }
 
 func answerHeader(h http.Header) http.Header {
@@ -94,25 +97,27 @@
 	return resp.ContentLength >= 0 || method == http.MethodHead || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
-// answerBody is a response body that returns io.EOF only if it is complete. All its other errors are *Failure.
+// answerBody is the body of a response. It returns io.EOF only if it is complete. All its other errors are *Failure.
 type answerBody struct {
-	body   io.ReadCloser
+	resp   *http.Response
 	framed bool
 }
 
 func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
+	n, err := b.resp.Body.Read(p)
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && b.framed:
-		return n, io.EOF
-	case errors.Is(err, io.EOF):
+	case !errors.Is(err, io.EOF):
+		return n, &Failure{Kind: FailureBroken, Cause: err}
+	case !b.framed:
 		return n, &Failure{Kind: FailureBroken, Cause: errNoEnd}
-	default:
+	}
+	if err := httpheader.CheckNames(b.resp.Trailer); err != nil {
 		return n, &Failure{Kind: FailureBroken, Cause: err}
 	}
+	return n, io.EOF
 }
 
 // Close closes the body. If part of it has not been read, the connection to the backend is closed too.
-func (b *answerBody) Close() error { return b.body.Close() }
+func (b *answerBody) Close() error { return b.resp.Body.Close() }
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -12,7 +12,6 @@
 
 	"github.com/pollenpier/pollenpier/internal/backend/wire"
 	"github.com/pollenpier/pollenpier/internal/entity"
-	"github.com/pollenpier/pollenpier/internal/httpstatus"
 )
 
 // maxControlBytes is the maximum size in bytes of the answer to a control request.
@@ -128,9 +127,9 @@
 			return errors.Wrapf(ErrUnreachable, "control answer with the request id %q", echoedID[:min(len(echoedID), maxErrorText)])
 		}
 	}
-	if !httpstatus.IsValid(resp.StatusCode) {
+	if err := validate(resp); err != nil {
 		transport.CloseIdleConnections()
-		return errors.Join(ErrUnreachable, invalidStatus(resp))
+		return errors.Join(ErrUnreachable, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return controlError(resp.StatusCode, data)
--- a/internal/h1/account.go
+++ b/internal/h1/account.go
@@ -165,6 +165,9 @@
 	bytes      int64
 	lines      int
 	lineLength int // bytes of the current line, without its end
+	// folded is true once a header line began with a blank. net/http appends such a line to the value of the line before, which changes
+	// that field if the blank belongs to a name.
+	folded bool
 }
 
 // begin starts with the next head, of which some bytes were read already.
@@ -187,8 +190,11 @@
 			h.lines++
 			h.lineLength = 0
 		case b != '\r':
+			h.folded = h.folded || (h.lineLength == 0 && h.lines > 0 && isBlank(b))
 			h.lineLength++
 		}
 	}
 	return h.lines <= maxHeaderFields+1 && h.share.growHead(h.bytes) // one is the status line
 }
+
+func isBlank(b byte) bool { return b == ' ' || b == '\t' }
--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/pollenpier/pollenpier/internal/httpheader"
 	"github.com/pollenpier/pollenpier/internal/httpstatus"
 )
 
@@ -112,15 +113,26 @@
 		return nil, c.readError(err)
 	}
 	c.source.left = math.MaxInt64 // the readers of the body limit it
-	if !httpstatus.IsValid(answer.StatusCode) {
-		return nil, errors.Join(ErrUnknown, ErrMalformed, errors.Errorf("status %d", answer.StatusCode))
-	}
-	if answer.StatusCode == http.StatusSwitchingProtocols {
-		return nil, errors.Join(ErrUnknown, ErrMalformed, errors.New("switched protocols"))
+	if err := c.checkHead(answer); err != nil {
+		return nil, malformed(err)
 	}
 	return answer, nil
 }
 
+// checkHead returns an error for a head that is not valid although net/http has parsed it.
+func (c *conn) checkHead(answer *http.Response) error {
+	switch {
+	case !httpstatus.IsValid(answer.StatusCode):
+		return errors.Errorf("status %d", answer.StatusCode)
+	case answer.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("switched protocols")
+	case c.source.head.folded:
+		return errors.New("header line begins with a blank")
+	default:
+		return httpheader.CheckNames(answer.Header)
+	}
+}
+
 // readBody reads the complete body of an answer. Its buffer grows with the data that arrives, and counts toward the pool's limit of
 // buffered data. It does not close the body, which would read the remainder of a body that is too large.
 func (c *conn) readBody(answer *http.Response, s *share, limit int64) ([]byte, error) {
@@ -145,6 +157,9 @@
 		case int64(len(body)) > limit:
 			return nil, limitExceeded("body too large")
 		case errors.Is(err, io.EOF):
+			if err := httpheader.CheckNames(answer.Trailer); err != nil {
+				return nil, malformed(err)
+			}
 			return body, nil
 		case err != nil:
 			return nil, c.readError(err)
@@ -187,10 +202,12 @@
 	default:
 		// The error of net/http may quote the answer.
 		text := err.Error()
-		return errors.Join(ErrUnknown, ErrMalformed, errors.New(text[:min(len(text), maxErrorText)]))
+		return malformed(errors.New(text[:min(len(text), maxErrorText)]))
 	}
 }
 
+func malformed(cause error) error { return errors.Join(ErrUnknown, ErrMalformed, cause) }
+
 func limitExceeded(what string) error {
 	return errors.Join(ErrUnknown, ErrTooLarge, errors.New(what))
 }
--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pollenpier/pollenpier/internal/entity"
+	"github.com/pollenpier/pollenpier/internal/httpheader"
 	"github.com/pollenpier/pollenpier/internal/httpstatus"
 	"github.com/pollenpier/pollenpier/internal/network"
 	"github.com/pollenpier/pollenpier/internal/platformapi/wire"
@@ -255,5 +256,8 @@
 	if !httpstatus.IsValid(resp.StatusCode) {
 		return 0, nil, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
 	}
+	if err := httpheader.CheckNames(resp.Header, resp.Trailer); err != nil {
+		return 0, nil, errors.Join(ErrUnavailable, err)
+	}
 	return resp.StatusCode, data, nil
 }
