--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -90,44 +90,26 @@
 
 // control sends one control request and decodes the response into answer unless answer is nil.
 func (c *HTTPClient) control(ctx context.Context, target Target, method, path string, body, answer any) error {
-	var encoded []byte
-	if body != nil {
-		var err error
-		if encoded, err = json.Marshal(body); err != nil {
-			return errors.Wrap(err, "encode control request")
-		}
-	}
 	tracker, id := new(connectionTracker), c.controlID()
-	req, err := http.NewRequestWithContext(tracker.trace(ctx), method, "http://"+target.Address+path, bytes.NewReader(encoded))
+	req, err := newControlRequest(tracker.trace(ctx), method, "http://"+target.Address+path, id, body)
 	if err != nil {
-		return errors.Wrap(err, "create control request")
+		return err
 	}
-	req.Header.Set(wire.HeaderRequestID, id)
-	if body != nil {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	preventReplay(req)
 	transport := c.transportsFor(target).control
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Join(ErrUnreachable, shortened(err))
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read, or the connection is dropped
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes+1))
+	data, err := readControlBody(resp)
 	if err != nil {
-		return errors.Join(ErrUnreachable, shortened(err))
-	}
-	if len(data) > maxControlBytes {
-		return errors.Wrap(ErrUnreachable, "control answer too large")
+		return errors.Join(ErrUnreachable, err)
 	}
-	if echoedID := resp.Header.Get(wire.HeaderRequestID); echoedID != id {
+	if resp.Header.Get(wire.HeaderRequestID) != id {
 		// The next answer on this connection cannot be told from a repetition of this one.
 		transport.CloseIdleConnections()
-		if echoedID != "" || tracker.reused.Load() {
-			return errors.Wrapf(ErrUnreachable, "control answer with the request id %q", echoedID[:min(len(echoedID), maxErrorText)])
-		}
 	}
-	if err := validate(resp); err != nil {
+	if err := checkControlAnswer(resp, id, tracker.reused.Load()); err != nil {
 		transport.CloseIdleConnections()
 		return errors.Join(ErrUnreachable, err)
 	}
@@ -143,6 +125,49 @@
 	return nil
 }
 
+// newControlRequest returns a control request with the given id and, unless body is nil, its encoded body.
+func newControlRequest(ctx context.Context, method, url, id string, body any) (*http.Request, error) {
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return nil, errors.Wrap(err, "encode control request")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, errors.Wrap(err, "create control request")
+	}
+	req.Header.Set(wire.HeaderRequestID, id)
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	preventReplay(req)
+	return req, nil
+}
+
+// readControlBody returns the complete body of an answer to a control request.
+func readControlBody(resp *http.Response) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes+1))
+	if err != nil {
+		return nil, shortened(err)
+	}
+	if len(data) > maxControlBytes {
+		return nil, errors.New("control answer too large")
+	}
+	return data, nil
+}
+
+// checkControlAnswer returns an error for a response that is not the answer to the control request with the given id. reused is true if
+// the connection has carried other requests, so that an answer without an id may be a repetition.
+func checkControlAnswer(resp *http.Response, id string, reused bool) error {
+	echoedID := resp.Header.Get(wire.HeaderRequestID)
+	if echoedID != id && (echoedID != "" || reused) {
+		return errors.Errorf("control answer with the request id %q", echoedID[:min(len(echoedID), maxErrorText)])
+	}
+	return validate(resp)
+}
+
 func controlError(status int, data []byte) error {
 	var body wire.Error
 	if err := json.Unmarshal(data, &body); err != nil {
