Record the end of a handler that ran ahead before its answer ends

Cause: prepared.end closed the channel that the writer of the answer waits for before it decreased the number of running handlers. If it lost the processor in between, the connection began to wait for its next request while the handler still counted. It then kept the buffer for reading ahead, 16 KiB of the callers' budget, until its next request or its end.

Change: the channel is closed after the number has been decreased. Nothing else waits for it.

--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -240,3 +240,21 @@
 		})
 	}
 }
+
+// Guards against a connection that waits for its next request while a handler of it counts as running, so that it keeps its buffer.
+func TestHandlerCountsAsEndedWhenItsAnswerMayEnd(t *testing.T) {
+	c := &conn{ahead: &readAhead{running: 1}}
+	p := &prepared{conn: c, ended: make(chan struct{})}
+	c.mu.Lock() // delays the record of the end
+	go p.end()
+	select {
+	case <-p.ended:
+		require.Zero(t, c.ahead.running)
+	case <-time.After(100 * time.Millisecond):
+	}
+	c.mu.Unlock()
+	<-p.ended
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Zero(t, c.ahead.running)
+}
--- a/internal/httpserver/prepared.go
+++ b/internal/httpserver/prepared.go
@@ -123,15 +123,16 @@
 	p.finish()
 }
 
-// end records that the handler has ended. The last one to end on a closed connection ends the connection.
+// end records that the handler has ended. The last one to end on a closed connection ends the connection. The answer ends after that: a
+// connection that waits for its next request keeps its buffer while a handler of it runs.
 func (p *prepared) end() {
-	close(p.ended)
 	c := p.conn
 	c.mu.Lock()
 	c.ahead.running--
 	isLast := c.closed && c.ahead.running == 0
 	c.mu.Unlock()
 	c.guard.release(p.cost)
+	close(p.ended)
 	if isLast {
 		c.server.forget(c)
 	}
