--- a/review/rig3/caller.go
+++ b/review/rig3/caller.go
@@ -24,7 +24,8 @@
 	return &caller{record: r, client: &http.Client{Timeout: orderBudget + time.Second}}
 }
 
-// order sends one order with the given key to an instance and returns its Request-Id. It records the answer.
+// order sends one order with the given key to an instance, records the answer and returns the Request-Id. The error means that there was
+// no answer.
 func (c *caller) order(front, key string) (string, error) {
 	id := fmt.Sprintf("r%06d", c.next.Add(1))
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+front+"/x/"+id, strings.NewReader("order"))
@@ -40,11 +41,11 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.record.note("%s at %s with the key %q: no answer after %.3f s: %v", id, front, key, time.Since(sent).Seconds(), err)
-		return id, nil //nolint:nilerr // an order without an answer may have run
+		return "", err
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close() // it was read to its end
-	c.record.note("%s at %s with the key %q: status %d after %.3f s, Response-Signature %q, body %q %v",
-		id, front, key, response.StatusCode, time.Since(sent).Seconds(), response.Header.Get("Response-Signature"), body, err)
-	return id, nil
+	c.record.note("%s at %s with the key %q: status %d after %.3f s, Response-Signature %q, body %q",
+		id, front, key, response.StatusCode, time.Since(sent).Seconds(), response.Header.Get("Response-Signature"), body)
+	return id, err
 }
--- a/review/rig3/options.go
+++ b/review/rig3/options.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// everything is the target of a request for the options of the server as a whole.
+const everything = "*"
+
 // playOptions has a caller ask for the options of the server as a whole, a request that no backend gets.
 func playOptions(r *record, trouble bool) ([]string, error) {
 	s, err := smallSite(r)
@@ -20,12 +23,16 @@
 	}
 	targets := []string{"/x/o1", "/none/o2"}
 	if trouble {
-		targets = append(targets, "*")
+		targets = append(targets, everything)
 	}
 	var broken []string
 	for _, n := range s.instances {
 		for i, target := range targets {
 			status, header, err := ask(n.front(), target, fmt.Sprintf("o%d", i+1))
+			if err != nil && target == everything { // the connection may be closed
+				r.note("OPTIONS %s at %s: no answer: %v", target, n.ip, err)
+				continue
+			}
 			if err != nil {
 				return nil, err
 			}
