--- a/review/rig3/last_key.go
+++ b/review/rig3/last_key.go
@@ -75,21 +75,11 @@
 			if err != nil {
 				return ran, err
 			}
-			if s.runs.CountRuns(id) > 0 {
-				s.record.note("%s was run by %s for the customer %q", id, s.runs.LastBackend(id), s.customerOf(id))
+			if run, ok := s.log.find(id); ok {
+				s.record.note("%s was run by %s for the customer %q", id, run.endpoint, run.customer)
 				ran++
 			}
 		}
 	}
 	return ran, nil
 }
-
-// customerOf returns the customer that a backend was told for a request.
-func (s *site) customerOf(id string) string {
-	for _, run := range s.runs.Runs() {
-		if run.Request == id {
-			return run.Customer
-		}
-	}
-	return ""
-}
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -24,8 +24,6 @@
 	graceSeconds = 6
 	restartDelay = time.Second
 	readyTimeout = 20 * time.Second
-	slots        = 8                      // of each backend
-	runTime      = 200 * time.Millisecond // of a request at a backend
 )
 
 // record writes what was sent, answered and run to the record of a case.
@@ -53,30 +51,30 @@
 	ended   bool
 }
 
-// site is the store, the backends and the instances of a case.
+// site is the store, the endpoints and the instances of a case.
 type site struct {
 	record    *record
 	dir       string
 	store     *standin.Store
-	runs      *standin.ExecutionLog
-	backends  []*standin.Server
+	log       *runLog
+	endpoints []*endpoint
 	instances []*instance
 	prefix    string // of the addresses of the instances
 	storeAt   string // the address of the store in the settings
 }
 
-// smallSite starts three instances, four backends that own keys and three that do not.
+// smallSite starts three instances and three endpoints of the service "orders".
 func smallSite(r *record) (*site, error) {
 	s, err := newSite(r)
 	if err != nil {
 		return nil, err
 	}
 	err = s.configure(1, tenant{customerName, customerKey})
-	for i := 0; i < 4 && err == nil; i++ {
-		err = s.addBackend(standin.ServerOptions{ID: fmt.Sprintf("stock-%d", i), Service: "stock", Zone: "a", Sharded: true, Slots: slots, Work: runTime})
-	}
 	for i := 0; i < 3 && err == nil; i++ {
-		err = s.addBackend(standin.ServerOptions{ID: fmt.Sprintf("orders-%d", i), Service: "orders", Zone: "a", Slots: slots, Work: runTime})
+		var e *endpoint
+		if e, err = newEndpoint(fmt.Sprintf("orders-%d", i), s.store, s.log); err == nil {
+			s.endpoints = append(s.endpoints, e)
+		}
 	}
 	for i := 0; i < 3 && err == nil; i++ {
 		err = s.addInstance("a")
@@ -101,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &site{record: r, dir: dir, store: store, runs: &standin.ExecutionLog{}, prefix: prefix, storeAt: store.Address()}, nil
+	return &site{record: r, dir: dir, store: store, log: &runLog{runs: map[string]execution{}}, prefix: prefix, storeAt: store.Address()}, nil
 }
 
 // freePrefix returns the first three numbers of loopback addresses at which nothing listens.
@@ -129,7 +127,7 @@
 		"network": map[string]any{
 			"listenAddresses": map[string]any{"front": n.ip + ":8388", "ready": n.ip + ":8384"}, "internalPortRange": []int{7560, 7575},
 		},
-		"platform": map[string]any{"heartbeatS": 0.3, "platform": map[string]any{"address": s.storeAt, "form": "log"}},
+		"platform": map[string]any{"heartbeatS": heartbeatS, "platform": map[string]any{"address": s.storeAt, "form": "log"}},
 		"terms": map[string]any{"bounds": map[string]any{
 			"holdMaxS": 10, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 64, "graceS": graceSeconds, "configApplyS": 2, "drainS": 2,
 		}},
@@ -207,15 +205,6 @@
 	return nil
 }
 
-// addBackend starts a backend of the project's stand-ins.
-func (s *site) addBackend(o standin.ServerOptions) error {
-	b, err := standin.NewServer("127.0.0.1", o, s.store, s.runs)
-	if err == nil {
-		s.backends = append(s.backends, b)
-	}
-	return err
-}
-
 // route is a route of the configuration.
 type route struct {
 	name, host, kind, service string
@@ -231,9 +220,8 @@
 	for _, t := range tenants {
 		customers = append(customers, map[string]any{"name": t.name, "apiKeys": []string{t.key}, "ratePerS": 0, "burst": 0})
 	}
-	routes := []route{{"look", "look.example", "safe", "stock", 1, 0.3}, {"order", "order.example", "unsafe", "orders", 1.2, 0.4}}
+	routes := []route{{"order", "order.example", "unsafe", "orders", 1.2, 0.4}}
 	services := []map[string]any{
-		{"name": "stock", "sharded": true, "maxConnections": 130, "warmupS": 3, "warmupPerS": 50, "healthCheckPath": "/healthz"},
 		{"name": "orders", "maxConnections": 130, "warmupS": 3, "warmupPerS": 50, "healthCheckPath": "/healthz"},
 	}
 	list := make([]map[string]any, 0, len(routes))
@@ -265,8 +253,8 @@
 		}
 		n.mu.Unlock()
 	}
-	for _, b := range s.backends {
-		b.Crash()
+	for _, e := range s.endpoints {
+		e.close()
 	}
 	s.store.Close()
 	if os.Getenv("KEEP") == "" {
