Require keys under a configuration whose list of customers is empty

The decoder read a missing list of customers and an empty one into the same value, and KeysRequired was true only if there was a customer. A missing list means that requests need no key; an empty one means that no key is valid.

Change: catalog.Access says explicitly whether a configuration is open, and its zero value admits nobody. Ruled out: the product's own front end always looks a key up, also without customers (TestCustomersFollowEachConfiguration passed at once).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -80,6 +80,14 @@
 	Burst       float64 // requests accepted in excess of the rate
 }
 
+// Access says whose requests may use the routes that are not public. The zero value admits nobody.
+type Access struct {
+	// Open is true if the operators' configuration has no list of customers at all: requests then need no key. A list without
+	// customers does not make a configuration open.
+	Open      bool
+	Customers []*Customer
+}
+
 // CallerLimits limit the size of a caller's request and the time that the caller may take to send it.
 type CallerLimits struct {
 	MaxHeaderBytes int
@@ -96,18 +104,20 @@
 	Customers map[entity.CustomerID]*Customer
 	Limits    CallerLimits
 
+	open   bool // see Access
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
 }
 
 // New validates a configuration and builds its indexes. The caller must not change the arguments afterwards.
-func New(version uint64, routes []*Route, services []*Service, customers []*Customer, limits CallerLimits) (*Config, error) {
+func New(version uint64, routes []*Route, services []*Service, access Access, limits CallerLimits) (*Config, error) {
 	c := &Config{
 		Version:   version,
 		Routes:    routes,
 		Services:  make(map[entity.ServiceName]*Service, len(services)),
-		Customers: make(map[entity.CustomerID]*Customer, len(customers)),
+		Customers: make(map[entity.CustomerID]*Customer, len(access.Customers)),
 		Limits:    limits,
+		open:      access.Open,
 		byHost:    map[string][]*Route{},
 		byKey:     map[string]*Customer{},
 	}
@@ -122,7 +132,7 @@
 			return nil, errors.Wrapf(err, "route %q", r.Name)
 		}
 	}
-	for _, customer := range customers {
+	for _, customer := range access.Customers {
 		if err := c.addCustomer(customer); err != nil {
 			return nil, errors.Wrapf(err, "customer %q", customer.ID)
 		}
@@ -191,7 +201,7 @@
 }
 
 // KeysRequired reports whether requests on routes that are not public require a customer's key.
-func (c *Config) KeysRequired() bool { return len(c.Customers) > 0 }
+func (c *Config) KeysRequired() bool { return !c.open }
 
 // Backend is one process of a service, as listed by the platform.
 type Backend struct {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -18,7 +18,7 @@
 	all := catalog.Target{Service: "s", Weight: 1}
 	c, err := catalog.New(1, []*catalog.Route{
 		route("short", "h", "/a/", all), route("long", "h", "/a/b/", all), route("other", "g", "/a/b/c/", all),
-	}, []*catalog.Service{{Name: "s"}}, nil, catalog.CallerLimits{})
+	}, []*catalog.Service{{Name: "s"}}, catalog.Access{Open: true}, catalog.CallerLimits{})
 	require.NoError(t, err)
 	for path, want := range map[string]string{"/a/x": "short", "/a/b/": "long", "/a/b/c/d": "long", "/a/b": "short"} {
 		r, ok := c.Route("h", path)
@@ -48,7 +48,7 @@
 		"shared key": {route("r", "h", "/a/", good),
 			[]*catalog.Customer{{ID: "a", Keys: []string{"k"}}, {ID: "b", Keys: []string{"k"}}}, catalog.ErrSharedKey},
 	} {
-		_, err := catalog.New(1, []*catalog.Route{c.route}, services, c.customers, catalog.CallerLimits{})
+		_, err := catalog.New(1, []*catalog.Route{c.route}, services, catalog.Access{Customers: c.customers}, catalog.CallerLimits{})
 		require.ErrorIs(t, err, c.want, name)
 	}
 }
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -165,6 +165,23 @@
 	}
 }
 
+// Guards against a builder that keeps the customers of an earlier configuration, or that lets a request in because a configuration has
+// no customers.
+func TestCustomersFollowEachConfiguration(t *testing.T) {
+	const key = "key"
+	some := func() *operator.Config {
+		return &operator.Config{Customers: []operator.Customer{{Name: "c", KeyHashes: []string{operator.HashKey(key)}}}}
+	}
+	var b routing.Builder
+	for i, c := range []*operator.Config{nil, some(), {}, some(), {Customers: []operator.Customer{}}, {Customers: []operator.Customer{{Name: "c"}}}} {
+		s := b.Build(c, uint64(i), nil)
+		_, ok := s.Customer(sha256.Sum256([]byte(key)))
+		require.Equal(t, i == 1 || i == 3, ok, "version %d", i)
+		_, ok = s.Customer(sha256.Sum256(nil))
+		require.False(t, ok, "version %d", i)
+	}
+}
+
 // Guards against allocations in the path of every request.
 func TestLookupsDoNotAllocate(t *testing.T) {
 	c, view := sample(t)
--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -132,7 +132,8 @@
 	s.config = m.Config
 	s.versions.Update(int64(m.Config.Version))
 	telemetry.EventConfigApplied.Log(s.log, zap.Uint64("version", m.Config.Version), zap.Uint64("before", previous),
-		zap.Int("routes", len(m.Config.Routes)), zap.Int("customers", len(m.Config.Customers)))
+		zap.Int("routes", len(m.Config.Routes)), zap.Int("customers", len(m.Config.Customers)),
+		zap.Bool("keys_required", m.Config.KeysRequired()))
 	s.applyConfigured()
 	s.publish(t)
 }
--- a/internal/service/directory/directory_test.go
+++ b/internal/service/directory/directory_test.go
@@ -97,7 +97,7 @@
 }
 
 func config(t *testing.T, version uint64) service.ConfigRead {
-	c, err := catalog.New(version, nil, []*catalog.Service{{Name: "s", Warmup: 3 * time.Second, WarmupRate: 10}}, nil, catalog.CallerLimits{})
+	c, err := catalog.New(version, nil, []*catalog.Service{{Name: "s", Warmup: 3 * time.Second, WarmupRate: 10}}, catalog.Access{Open: true}, catalog.CallerLimits{})
 	require.NoError(t, err)
 	return service.ConfigRead{Config: c}
 }
@@ -246,7 +246,7 @@
 
 // Guards against requests that are accepted too early: a newly started instance has read its configuration but no backends yet.
 func TestReadyRequiresConfigurationAndBackends(t *testing.T) {
-	config, err := catalog.New(1, nil, nil, nil, catalog.CallerLimits{})
+	config, err := catalog.New(1, nil, nil, catalog.Access{Open: true}, catalog.CallerLimits{})
 	require.NoError(t, err)
 	isReady := func(h *harness) bool {
 		handled := make(chan struct{})
--- a/internal/service/directory/records_test.go
+++ b/internal/service/directory/records_test.go
@@ -20,7 +20,7 @@
 // configWithAgent configures the service of foreign as well.
 func configWithAgent(t *testing.T, version uint64) service.ConfigRead {
 	t.Helper()
-	c, err := catalog.New(version, nil, []*catalog.Service{{Name: "s"}, {Name: "agent"}}, nil, catalog.CallerLimits{})
+	c, err := catalog.New(version, nil, []*catalog.Service{{Name: "s"}, {Name: "agent"}}, catalog.Access{Open: true}, catalog.CallerLimits{})
 	require.NoError(t, err)
 	return service.ConfigRead{Config: c}
 }
--- a/internal/service/keys/harness_test.go
+++ b/internal/service/keys/harness_test.go
@@ -268,7 +268,7 @@
 	h.t.Helper()
 	h.backends.setListed(list)
 	services := []*catalog.Service{{Name: testService, Partitioned: true, HealthPath: "/healthz"}, {Name: plainService, HealthPath: "/status"}}
-	config, err := catalog.New(1, nil, services, nil, catalog.CallerLimits{})
+	config, err := catalog.New(1, nil, services, catalog.Access{Open: true}, catalog.CallerLimits{})
 	require.NoError(h.t, err)
 	view := &service.DirectoryView{
 		Config: config, Services: map[entity.ServiceName][]*catalog.Backend{}, Backends: map[entity.BackendID]*catalog.Backend{},
--- a/internal/service/loads/loads_test.go
+++ b/internal/service/loads/loads_test.go
@@ -199,7 +199,7 @@
 	require.NoError(t, k.Start(context.Background()))
 	defer func() { require.NoError(t, k.Stop(context.Background())) }()
 	c := &catalog.Customer{ID: "florist", Keys: []string{"k"}, Rate: 10, Burst: 10}
-	config, err := catalog.New(1, nil, nil, []*catalog.Customer{c}, catalog.CallerLimits{})
+	config, err := catalog.New(1, nil, nil, catalog.Access{Customers: []*catalog.Customer{c}}, catalog.CallerLimits{})
 	require.NoError(t, err)
 	require.NoError(t, k.Deliver(context.Background(), service.Loads, service.DirectoryChanged{View: &service.DirectoryView{Config: config}}))
 	handled := make(chan struct{})
--- a/internal/service/rollout/harness_test.go
+++ b/internal/service/rollout/harness_test.go
@@ -268,7 +268,7 @@
 }
 
 func (d *deployment) view() *service.DirectoryView {
-	config, err := catalog.New(1, nil, d.services, nil, catalog.CallerLimits{})
+	config, err := catalog.New(1, nil, d.services, catalog.Access{Open: true}, catalog.CallerLimits{})
 	require.NoError(d.t, err)
 	view := &service.DirectoryView{Config: config, Services: map[entity.ServiceName][]*catalog.Backend{}}
 	for _, b := range d.backends {
--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -127,7 +127,7 @@
 		{Name: "orders", Host: host, PathPrefix: "/orders/", Targets: []catalog.Target{{Service: orders, Weight: 1}}, Timeout: 2 * time.Second, MaxAttempts: 1},
 	}
 	services := []*catalog.Service{{Name: lookups}, {Name: orders, Partitioned: true}}
-	config, err := catalog.New(1, routes, services, []*catalog.Customer{customer}, catalog.CallerLimits{})
+	config, err := catalog.New(1, routes, services, catalog.Access{Customers: []*catalog.Customer{customer}}, catalog.CallerLimits{})
 	require.NoError(t, err)
 	b := &testRouter{clock: kernel.NewManualClock()}
 	b.directory = &fakeDirectory{stub: stub{service.Directory}, ready: make(chan struct{}), view: &service.DirectoryView{
