Let an empty key in a customer's list admit nobody

Cause: a request without a key has an empty one. An empty key or null in a customer's list let in every such request as that customer.

Change: an empty key belongs to nobody; the customer's other keys stay valid.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -194,8 +194,12 @@
 	return best, best != nil
 }
 
-// Customer returns the customer to which a key belongs.
+// Customer returns the customer to which a key belongs. An empty key belongs to nobody, also if a customer's list contains it, because
+// requests without a key have an empty one.
 func (c *Config) Customer(key string) (*Customer, bool) {
+	if key == "" {
+		return nil, false
+	}
 	customer, ok := c.byKey[key]
 	return customer, ok
 }
