Bound the lag of configurations behind a zone reader and after a loss

The instances of a zone judged the zone reader's news of the operators' topic by the age of its reads of the backends' entries; while its read of the operators' topic hung, they had nothing to read, also when they had read further.

Change: heartbeats carry the age of the last proof that the zone reader's operators' records were complete; without one of the last 1.5 s, or if they have read further, the others read the store.

Tests: TestOperatorRecordsAreRelayedInOrder asked that an instance that has read further than the zone reader does not read the store; that is the fault, and it now asks that it does.

--- a/internal/decide/storesync/storesync.go
+++ b/internal/decide/storesync/storesync.go
@@ -8,8 +8,8 @@
 
 // Bounds of relayed updates.
 const (
-	// maxAge is the maximum age of the zone reader's update. It covers the read interval, a slow answer of the store and a
-	// heartbeat.
+	// maxAge is the maximum age of what the zone reader knows of a topic. It covers the read interval, a slow answer of the store and
+	// a heartbeat.
 	maxAge = 1500 * time.Millisecond
 	// batchTTL is how long a batch is relayed, so that a lost heartbeat does no harm.
 	batchTTL = time.Second
@@ -30,6 +30,8 @@
 	// Age is the time since the last successful read of the backend records was sent. Without such a read, the other fields are
 	// not meaningful.
 	Age time.Duration
+	// OperatorAge is the time since the operators' records up to OperatorOffset were all that the store had.
+	OperatorAge time.Duration
 	// Batches are the latest changes of the backend records, oldest first. An instance that has read up to After of the first
 	// batch can apply them without reading the store.
 	Batches []Batch
@@ -46,12 +48,16 @@
 
 // Step is what an instance has to do next to be up to date.
 type Step struct {
-	// ReadStore is true if the instance has to read the store. The other fields are then empty.
+	// ReadStore is true if the instance has to read the store. Of the other fields, only Missing may then be set.
 	ReadStore bool
+	// Missing is the number of records that the zone reader has read and this instance neither has nor can apply. If it is above
+	// zero, a read need not wait for records.
+	Missing uint64
 	// UpTo is the offset that the instance has reached after it has applied Records.
 	UpTo    uint64
 	Records [][]byte
-	// At is when the zone reader's last read of the store was sent.
+	// At is when the zone reader's last read of the store was sent. For the operators' records it is the last time at which those up
+	// to UpTo were all that the store had.
 	At time.Duration
 }
 
@@ -61,11 +67,14 @@
 	readAt       time.Duration
 	entriesKnown bool // the backend records were read at least once
 	batches      []timedBatch
+	operatorAt   time.Duration // last time at which the operators' records were all that the store had
 	// operatorBatches are the batches of the operators' records.
 	operatorBatches []timedBatch
 
 	received       Update
 	receivedReadAt time.Duration // when the zone reader's last read was sent
+	// receivedOperatorAt is the last time at which the zone reader had all of the operators' records.
+	receivedOperatorAt time.Duration
 }
 
 type timedBatch struct {
@@ -93,13 +102,16 @@
 	t.local.EntriesOffset, t.readAt, t.entriesKnown = upTo, at, true
 }
 
-// OperatorRead records that the operators' records are known up to an offset, at the given time. Records are those after the
-// previous offset, nil if there are none or if they are not to be relayed.
-func (t *Tracker) OperatorRead(upTo uint64, records []byte, now time.Duration) {
+// OperatorAt returns the last time at which this instance had all of the operators' records, zero if there was none.
+func (t *Tracker) OperatorAt() time.Duration { return t.operatorAt }
+
+// OperatorRead records that at the time currentAt the operators' records up to an offset were all that the store had. Records are those
+// after the previous offset, nil if there are none or if they are not to be relayed.
+func (t *Tracker) OperatorRead(upTo uint64, records []byte, currentAt, now time.Duration) {
 	if len(records) > 0 {
 		t.operatorBatches = append(t.operatorBatches, timedBatch{Batch{After: t.local.OperatorOffset, UpTo: upTo, Records: records}, now})
 	}
-	t.local.OperatorOffset = upTo
+	t.local.OperatorOffset, t.operatorAt = upTo, max(t.operatorAt, currentAt)
 }
 
 // Outgoing returns the update that this instance sends to its peers.
@@ -107,7 +119,7 @@
 	t.batches = expire(t.batches, maxBatchBytes, now)
 	t.operatorBatches = expire(t.operatorBatches, maxOperatorBytes, now)
 	update := t.local
-	update.Age = now - t.readAt
+	update.Age, update.OperatorAge = now-t.readAt, now-t.operatorAt
 	for _, b := range t.batches {
 		update.Batches = append(update.Batches, b.Batch)
 	}
@@ -134,7 +146,7 @@
 
 // ReceiveUpdate stores the zone reader's update.
 func (t *Tracker) ReceiveUpdate(update Update, now time.Duration) {
-	t.received, t.receivedReadAt = update, now-update.Age
+	t.received, t.receivedReadAt, t.receivedOperatorAt = update, now-update.Age, now-update.OperatorAge
 }
 
 // Entries returns what to do to get the backend records from the offset next.
@@ -149,16 +161,18 @@
 	return Step{UpTo: t.received.EntriesOffset, Records: records, At: t.receivedReadAt}
 }
 
-// Operator returns what to do to get the operators' records from the offset next.
+// Operator returns what to do to get the operators' records from the offset next. The age of the reads of the backend records says
+// nothing about those of the operators' records: one may hang while the other is answered. An instance that has read further than the
+// zone reader knows that the zone reader is behind.
 func (t *Tracker) Operator(next uint64, now time.Duration) Step {
-	if now-t.receivedReadAt > maxAge || t.received.OperatorOffset == 0 {
-		return Step{ReadStore: true}
-	}
 	records, reached := chainFrom(t.received.OperatorBatches, next)
-	if t.received.OperatorOffset > reached {
+	switch {
+	case t.received.OperatorOffset > reached:
+		return Step{ReadStore: true, Missing: t.received.OperatorOffset - next}
+	case t.received.OperatorOffset == 0 || t.received.OperatorOffset < next || now-t.receivedOperatorAt > maxAge:
 		return Step{ReadStore: true}
 	}
-	return Step{UpTo: reached, Records: records, At: t.receivedReadAt}
+	return Step{UpTo: reached, Records: records, At: t.receivedOperatorAt}
 }
 
 // chainFrom returns the records of the batches that continue from an offset without a gap, and the offset that they reach.
--- a/internal/decide/storesync/storesync_test.go
+++ b/internal/decide/storesync/storesync_test.go
@@ -36,28 +36,53 @@
 	var reader, other storesync.Tracker
 	now := 2 * time.Second
 	reader.EntriesRead(10, nil, true, now)
-	reader.OperatorRead(4, nil, now)
-	other.OperatorRead(4, nil, now)
+	reader.OperatorRead(4, nil, now, now)
+	other.OperatorRead(4, nil, now, now)
 	require.True(t, other.Operator(4, now).ReadStore, "no update received")
 	other.ReceiveUpdate(reader.Outgoing(now), now)
 	require.Equal(t, storesync.Step{UpTo: 4, At: now}, other.Operator(4, now))
 
-	reader.OperatorRead(5, []byte("a"), now)
-	reader.OperatorRead(7, []byte("b"), now)
+	reader.OperatorRead(5, []byte("a"), now, now)
+	reader.OperatorRead(7, []byte("b"), now, now)
 	other.ReceiveUpdate(reader.Outgoing(now), now)
 	step := other.Operator(4, now)
 	require.Equal(t, storesync.Step{UpTo: 7, Records: [][]byte{[]byte("a"), []byte("b")}, At: now}, step)
 	require.Equal(t, storesync.Step{UpTo: 7, Records: [][]byte{[]byte("b")}, At: now}, other.Operator(5, now))
-	require.True(t, other.Operator(3, now).ReadStore, "a record before the batches is missing")
-	other.OperatorRead(step.UpTo, nil, now)
+	require.Equal(t, storesync.Step{ReadStore: true, Missing: 4}, other.Operator(3, now), "a record before the batches is missing")
+	other.OperatorRead(step.UpTo, nil, now, now)
 	require.False(t, other.Operator(7, now).ReadStore)
-	require.False(t, other.Operator(8, now).ReadStore, "this instance has read further than the zone reader")
+	require.Equal(t, storesync.Step{ReadStore: true}, other.Operator(8, now), "this instance has read further than the zone reader")
 
-	reader.OperatorRead(8, make([]byte, 64<<10), now)
+	reader.OperatorRead(8, make([]byte, 64<<10), now, now)
 	other.ReceiveUpdate(reader.Outgoing(now), now)
 	require.True(t, other.Operator(7, now).ReadStore, "too large for a heartbeat")
 }
 
+// Guards against one instance's hanging read of the operators' records that keeps its whole zone from reading them: its reads of the
+// backend records are answered all the while.
+func TestHangingReadOfTheOperatorsRecordsIsNoticed(t *testing.T) {
+	var reader, other storesync.Tracker
+	now := 10 * time.Second
+	reader.EntriesRead(10, nil, true, now)
+	reader.OperatorRead(4, nil, now, now)
+	const readEvery, budget = 600 * time.Millisecond, 2 * time.Second // budget is the shortest time within which a change has to be in force
+	readStoreAt := time.Duration(0)
+	for at := now; at < now+10*time.Second; at += readEvery {
+		reader.EntriesRead(10, nil, false, at)
+		other.ReceiveUpdate(reader.Outgoing(at), at)
+		if other.Operator(4, at).ReadStore {
+			readStoreAt = at
+			break
+		}
+	}
+	require.Positive(t, readStoreAt, "never told to read")
+	require.Less(t, readStoreAt-now, budget)
+	require.Equal(t, now, reader.OperatorAt())
+	reader.OperatorRead(4, nil, readStoreAt, readStoreAt)
+	other.ReceiveUpdate(reader.Outgoing(readStoreAt), readStoreAt)
+	require.Equal(t, storesync.Step{UpTo: 4, At: readStoreAt}, other.Operator(4, readStoreAt), "the zone reader has read again")
+}
+
 // Guards against changes that an instance never learns: those before the batches that it receives, those too large to be
 // relayed, and those after the zone reader has stopped responding.
 func TestChangesThatAreNotRelayedAreRead(t *testing.T) {
@@ -97,14 +122,14 @@
 	now := 2 * time.Second
 	for _, tracker := range []*storesync.Tracker{&reader, &other} {
 		tracker.EntriesRead(98, nil, true, now)
-		tracker.OperatorRead(8, nil, now)
+		tracker.OperatorRead(8, nil, now, now)
 	}
 	reader.EntriesRead(100, []byte("a"), false, now)
-	reader.OperatorRead(9, []byte("b"), now)
+	reader.OperatorRead(9, []byte("b"), now, now)
 	reader.EntriesRead(nextEra+50, []byte("all"), true, now)
-	reader.OperatorRead(nextEra+4, nil, now)
+	reader.OperatorRead(nextEra+4, nil, now, now)
 	reader.EntriesRead(nextEra+51, []byte("c"), false, now)
-	reader.OperatorRead(nextEra+5, []byte("d"), now)
+	reader.OperatorRead(nextEra+5, []byte("d"), now, now)
 	other.ReceiveUpdate(reader.Outgoing(now), now)
 	require.True(t, other.Entries(98, now).ReadStore)
 	require.True(t, other.Operator(8, now).ReadStore)
--- a/internal/service/directory.go
+++ b/internal/service/directory.go
@@ -28,6 +28,9 @@
 // DirectorySource provides the current view to traffic goroutines.
 type DirectorySource interface {
 	Directory() *DirectoryView
+	// ConfigCheckedAt returns the last time at which the store is known to have had no newer configuration than the one in force here, on
+	// the kernel's clock. It is zero if there was none.
+	ConfigCheckedAt() time.Duration
 	// Ready returns a channel that is closed when the first configuration is effective and the backends have been read.
 	Ready() <-chan struct{}
 }
@@ -41,8 +44,25 @@
 	ReceiveUpdate(update storesync.Update, now time.Duration)
 }
 
+// ConfigOrigin is the way in which an instance learned a configuration.
+type ConfigOrigin string
+
+// Ways to learn a configuration. The texts are those in the log.
+const (
+	ConfigFromChanges ConfigOrigin = "changes" // from the records after the known ones
+	ConfigFromNewest  ConfigOrigin = "newest"  // from the newest record of each key
+	ConfigFromRelay   ConfigOrigin = "relay"   // from the zone reader
+)
+
 // ConfigRead is sent by the feed to the directory for each configuration read from the store.
-type ConfigRead struct{ Config *catalog.Config }
+type ConfigRead struct {
+	Config *catalog.Config
+	Origin ConfigOrigin
+}
+
+// ConfigChecked is sent by the feed to the directory when it has learned that at the time At, on the kernel's clock, the store had no
+// newer configuration than those sent before.
+type ConfigChecked struct{ At time.Duration }
 
 // BackendsRead is sent by the feed to the directory and contains the backend records that changed, in the order of the store.
 type BackendsRead struct {
--- a/internal/service/directory/directory.go
+++ b/internal/service/directory/directory.go
@@ -8,6 +8,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -27,6 +28,8 @@
 	view        kernel.Snapshot[service.DirectoryView]
 	subscribers []kernel.Name
 	ready       chan struct{} // closed by the control goroutine
+	checkedAt   atomic.Int64  // see ConfigCheckedAt, in nanoseconds
+	registry    metrics.Registry
 
 	// The fields below belong to the control goroutine.
 	config           *catalog.Config
@@ -51,6 +54,8 @@
 	isReady          bool // ready is closed
 
 	versions, listed, removals metrics.Gauge
+	// lag is the time at most from the acknowledgement of the last configuration until it was in force here, in milliseconds.
+	lag metrics.Gauge
 }
 
 // New returns the service. It sends DirectoryChanged after each publication to keys and loads, and to rollout if the platform knows
@@ -59,6 +64,7 @@
 	s := &Service{
 		instance:       instance,
 		log:            log,
+		registry:       registry,
 		subscribers:    []kernel.Name{service.Keys, service.Loads},
 		backends:       map[entity.BackendID]*catalog.Backend{},
 		lapsed:         map[entity.BackendID]time.Duration{},
@@ -74,6 +80,7 @@
 		ready:          make(chan struct{}),
 		listed:         metrics.GetOrRegisterGauge("directory.backends", registry),
 		removals:       metrics.GetOrRegisterGauge("directory.lapsed", registry),
+		lag:            metrics.GetOrRegisterGauge("directory.config_lag_ms", registry),
 	}
 	if instance.ExposureShare > 0 {
 		s.subscribers = append(s.subscribers, service.Rollout)
@@ -89,7 +96,12 @@
 func (s *Service) Needs() []kernel.Name { return nil }
 
 // Provision implements kernel.Service.
-func (s *Service) Provision(*kernel.Resolver) error { return nil }
+func (s *Service) Provision(r *kernel.Resolver) error {
+	k := r.Kernel()
+	age := func() int64 { return (k.Now() - s.ConfigCheckedAt()).Milliseconds() }
+	metrics.NewRegisteredFunctionalGauge("directory.config_age_ms", s.registry, age)
+	return nil
+}
 
 // Start implements kernel.Service.
 func (s *Service) Start(context.Context) error { return nil }
@@ -100,6 +112,9 @@
 // Directory implements service.DirectorySource. It may be called from any goroutine.
 func (s *Service) Directory() *service.DirectoryView { return s.view.Load() }
 
+// ConfigCheckedAt implements service.DirectorySource. It may be called from any goroutine.
+func (s *Service) ConfigCheckedAt() time.Duration { return time.Duration(s.checkedAt.Load()) }
+
 // Ready implements service.DirectorySource.
 func (s *Service) Ready() <-chan struct{} { return s.ready }
 
@@ -108,6 +123,8 @@
 	switch m := m.(type) {
 	case service.ConfigRead:
 		s.configRead(t, m)
+	case service.ConfigChecked:
+		s.checkedAt.Store(int64(max(m.At, s.ConfigCheckedAt())))
 	case service.BackendsRead:
 		s.backendsRead(t, m)
 	case service.BackendsLeaving:
@@ -131,7 +148,13 @@
 	}
 	s.config = m.Config
 	s.versions.Update(int64(m.Config.Version))
+	var lag time.Duration // unknown for the first configuration
+	if checkedAt := s.ConfigCheckedAt(); checkedAt > 0 {
+		lag = t.Now() - checkedAt
+		s.lag.Update(lag.Milliseconds())
+	}
 	telemetry.EventConfigApplied.Log(s.log, zap.Uint64("version", m.Config.Version), zap.Uint64("before", previous),
+		zap.String("origin", string(m.Origin)), zap.Duration("lag_at_most", lag),
 		zap.Int("routes", len(m.Config.Routes)), zap.Int("customers", len(m.Config.Customers)),
 		zap.Bool("keys_required", m.Config.KeysRequired()))
 	s.applyConfigured()
--- a/internal/service/directory/directory_test.go
+++ b/internal/service/directory/directory_test.go
@@ -43,6 +43,7 @@
 	clock     *kernel.ManualClock
 	kernel    *kernel.Kernel
 	directory *directory.Service
+	metrics   metrics.Registry
 }
 
 // newHarness returns a directory with the configuration of config.
@@ -60,8 +61,8 @@
 
 func newHarnessOf(t *testing.T, instance service.InstanceConfig) *harness {
 	t.Helper()
-	h := &harness{t: t, clock: kernel.NewManualClock()}
-	h.directory = directory.New(instance, zap.NewNop(), metrics.NewRegistry())
+	h := &harness{t: t, clock: kernel.NewManualClock(), metrics: metrics.NewRegistry()}
+	h.directory = directory.New(instance, zap.NewNop(), h.metrics)
 	var err error
 	h.kernel, err = kernel.New(h.clock, []kernel.Service{h.directory, sink{service.Keys}, sink{service.Loads}, sink{service.Rollout}})
 	require.NoError(t, err)
@@ -269,3 +270,20 @@
 		}
 	}
 }
+
+// Guards against an operator who cannot see how late a configuration came into force, and against an instance that believes that its
+// configuration is recent before it is in force.
+func TestAgeAndLagOfTheConfigurationAreReported(t *testing.T) {
+	h := newHarness(t)
+	gauge := func(name string) int64 { return h.metrics.Get(name).(metrics.Gauge).Value() }
+	require.Zero(t, h.directory.ConfigCheckedAt())
+	checked := h.clock.Now()
+	h.send(service.ConfigChecked{At: checked}, service.ConfigChecked{At: checked - time.Second})
+	require.Equal(t, checked, h.directory.ConfigCheckedAt(), "an older check counts for nothing")
+	h.clock.Advance(700 * time.Millisecond)
+	require.Equal(t, int64(700), gauge("directory.config_age_ms"))
+	h.send(config(t, 2), service.ConfigChecked{At: h.clock.Now()})
+	require.Equal(t, int64(700), gauge("directory.config_lag_ms"))
+	require.Equal(t, int64(2), gauge("directory.config_version"))
+	require.Zero(t, gauge("directory.config_age_ms"))
+}
--- a/internal/service/members/encode.go
+++ b/internal/service/members/encode.go
@@ -61,7 +61,7 @@
 	local := s.storeSync.LocalUpdate()
 	zoneMessage := proto.CloneOf(m)
 	zoneMessage.NewsRead, zoneMessage.NewsChanged, zoneMessage.NewsOperator = local.EntriesOffset, local.LastChangeOffset, local.OperatorOffset
-	zoneMessage.NewsAgeMs = uint32(local.Age.Milliseconds())
+	zoneMessage.NewsAgeMs, zoneMessage.NewsOperatorAgeMs = uint32(local.Age.Milliseconds()), uint32(local.OperatorAge.Milliseconds())
 	for _, b := range local.Batches {
 		zoneMessage.News = append(zoneMessage.News, &fleetpb.NewsBatch{After: b.After, UpTo: b.UpTo, Records: b.Records})
 	}
@@ -75,7 +75,7 @@
 func storeUpdateOf(m *fleetpb.Heartbeat) storesync.Update {
 	update := storesync.Update{
 		EntriesOffset: m.NewsRead, LastChangeOffset: m.NewsChanged, OperatorOffset: m.NewsOperator,
-		Age: time.Duration(m.NewsAgeMs) * time.Millisecond,
+		Age: time.Duration(m.NewsAgeMs) * time.Millisecond, OperatorAge: time.Duration(m.NewsOperatorAgeMs) * time.Millisecond,
 	}
 	for _, b := range m.News {
 		update.Batches = append(update.Batches, storesync.Batch{After: b.After, UpTo: b.UpTo, Records: b.Records})
--- a/internal/service/router/harness_test.go
+++ b/internal/service/router/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,7 +33,8 @@
 // fakeDirectory is a directory service with a fixed view.
 type fakeDirectory struct {
 	stub
-	ready chan struct{}
+	ready     chan struct{}
+	checkedAt atomic.Int64 // in nanoseconds
 
 	mu   sync.Mutex
 	view *service.DirectoryView
@@ -46,6 +48,8 @@
 
 func (f *fakeDirectory) Ready() <-chan struct{} { return f.ready }
 
+func (f *fakeDirectory) ConfigCheckedAt() time.Duration { return time.Duration(f.checkedAt.Load()) }
+
 // fakeKeys is a keys service with a fixed table. It counts the reports of misdirected requests.
 type fakeKeys struct {
 	stub
--- a/internal/telemetry/catalogue_store_instance.go
+++ b/internal/telemetry/catalogue_store_instance.go
@@ -20,6 +20,8 @@
 
 	EventBackendRefusedConnection = define(2113, zapcore.InfoLevel, "backend refused a connection, the process that answers next counts as cold")
 
+	EventZoneReaderOutdated = define(2116, zapcore.InfoLevel, "zone reader has not confirmed the configuration for too long, reading the store")
+
 	EventBackendUnconfigured = define(2115, zapcore.WarnLevel, "backend record names a service that is not configured and is ignored")
 
 	EventWarmupCheckFailed = define(2114, zapcore.InfoLevel, "backend did not answer a check of its warm-up and counts as cold")
