Refuse unknown routes and keys as retryable while the configuration may be outdated

Change: if the last proof is older than configApplyS, such a request is refused with 503, reason stale-config, and Retry-After of 0.5 s: not run, which is true. Requests that the known configuration allows are served as before.

--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -102,6 +102,7 @@
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonStopping         Reason = "stopping"
 	ReasonStaleKeys        Reason = "stale-keys"
+	ReasonStaleConfig      Reason = "stale-config"
 	ReasonTooLarge         Reason = "too-large"
 	ReasonLeaseLost        Reason = "lease-lost"
 )
--- a/internal/service/router/check.go
+++ b/internal/service/router/check.go
@@ -37,9 +37,22 @@
 	c.view = s.directory.Directory()
 }
 
+// staleConfigRetry is the time after which a caller whose route or key is not known here may be told more. A read that does not respond
+// has usually been sent again by then.
+const staleConfigRetry = 500 * time.Millisecond
+
+// refuseUnknown returns the outcome of a call whose route or key is not known. If this instance may have missed a newer configuration,
+// that is no proof that there is no such route or key, and the caller is told to retry.
+func (s *Service) refuseUnknown(reason entity.Reason, detail string) entity.Outcome {
+	if age := s.kernel.Now() - s.directory.ConfigCheckedAt(); s.instance.ConfigApply > 0 && age > s.instance.ConfigApply {
+		return entity.NotRun(entity.ReasonStaleConfig, detail+", but the configuration may be outdated")
+	}
+	return entity.NotRun(reason, detail)
+}
+
 // check finds the route, the customer and the service of a call. It returns false and the outcome if the call cannot be served.
 func (s *Service) check(c *request) (entity.Outcome, bool) {
-	if outcome, ok := authorize(c); !ok {
+	if outcome, ok := s.authorize(c); !ok {
 		return outcome, false
 	}
 	route := c.route
@@ -58,20 +71,20 @@
 }
 
 // authorize finds the route and the customer of a call. If there are none, it returns the outcome and false.
-func authorize(c *request) (entity.Outcome, bool) {
+func (s *Service) authorize(c *request) (entity.Outcome, bool) {
 	config := c.view.Config
 	if config == nil {
 		return entity.NotRun(entity.ReasonStopping, "no configuration yet"), false
 	}
 	route, ok := config.Route(c.call.Host, c.call.Path)
 	if !ok {
-		return entity.NotRun(entity.ReasonUnknownRoute, "no route for this host and path"), false
+		return s.refuseUnknown(entity.ReasonUnknownRoute, "no route for this host and path"), false
 	}
 	c.route, c.priority = route, route.Priority
 	if !route.Public && config.KeysRequired() {
 		customer, ok := config.Customer(c.call.Credential)
 		if !ok {
-			return entity.NotRun(entity.ReasonUnauthenticated, "unknown or withdrawn customer's key"), false
+			return s.refuseUnknown(entity.ReasonUnauthenticated, "unknown or withdrawn customer's key"), false
 		}
 		c.customer = customer
 		if customer.HasPriority {
--- a/internal/service/router/forecast.go
+++ b/internal/service/router/forecast.go
@@ -16,7 +16,7 @@
 	if c.view.Config != nil {
 		f.ConfigVersion = c.view.Config.Version
 	}
-	outcome, ok := authorize(c)
+	outcome, ok := s.authorize(c)
 	if c.route != nil {
 		f.Route = c.route.Name
 	}
--- a/internal/service/router/router.go
+++ b/internal/service/router/router.go
@@ -148,12 +148,12 @@
 	if c.view.Config == nil {
 		return service.Reply{}, true
 	}
-	outcome, ok := authorize(c)
+	outcome, ok := s.authorize(c)
 	if ok {
 		return service.Reply{}, true
 	}
 	s.meters.calls.Inc(1)
-	reply := service.Reply{Outcome: outcome}
+	reply := service.Reply{Outcome: outcome, RetryAfter: c.retryElsewhere(outcome)}
 	s.finish(c, reply)
 	return reply, false
 }
@@ -203,12 +203,17 @@
 const stoppingRetry = 10 * time.Millisecond
 
 // retryElsewhere returns the time after which a caller may retry a request that was refused before it was admitted. It is zero unless
-// this instance is stopping: instances without a configuration have all just started, so the others may have none either.
+// this instance is stopping or its configuration may be outdated: instances without a configuration have all just started, so the others
+// may have none either.
 func (c *request) retryElsewhere(o entity.Outcome) time.Duration {
-	if c.call.Stop.StopBy != 0 && o.Reason == entity.ReasonStopping {
+	switch {
+	case c.call.Stop.StopBy != 0 && o.Reason == entity.ReasonStopping:
 		return stoppingRetry
+	case o.Reason == entity.ReasonStaleConfig:
+		return staleConfigRetry
+	default:
+		return 0
 	}
-	return 0
 }
 
 // finish logs and counts a reply.
--- a/internal/service/router/router_test.go
+++ b/internal/service/router/router_test.go
@@ -152,6 +152,29 @@
 	require.Empty(t, b.endpoints.delivered)
 }
 
+// Guards against 401 and 404 for a route or a key of a configuration that this instance may have missed, as in the users' record: callers
+// do not retry these. Requests that the known configuration allows are served all the while.
+func TestUnknownRoutesAreRetriedElsewhereWhileTheConfigurationMayBeOutdated(t *testing.T) {
+	const apply = 2 * time.Second
+	instance := service.InstanceConfig{ID: "one", Zone: "a", RetryRatio: 1, RetrySlack: 100, ConfigApply: apply}
+	b := newTestRouterOf(t, instance, unlimited(), zap.NewNop())
+	b.endpoints.answer = succeeding
+	b.directory.checkedAt.Store(int64(b.clock.Now()))
+	b.clock.Advance(apply)
+	require.Equal(t, entity.ReasonUnknownRoute, b.call("/nowhere/1", key, false).Outcome.Reason, "checked within the time that a configuration has to come into force")
+	b.clock.Advance(time.Millisecond)
+	for path, credential := range map[string]string{"/nowhere/1": key, "/lookups/1": "other"} {
+		reply := b.call(path, credential, false)
+		require.Equal(t, entity.OutcomeNotRun, reply.Outcome.Kind, path)
+		require.Equal(t, entity.ReasonStaleConfig, reply.Outcome.Reason, path)
+		require.Positive(t, reply.RetryAfter, path)
+	}
+	require.Empty(t, b.endpoints.delivered)
+	require.Equal(t, entity.OutcomeAnswered, b.call("/lookups/1", key, false).Outcome.Kind)
+	b.directory.checkedAt.Store(int64(b.clock.Now()))
+	require.Equal(t, entity.ReasonUnknownRoute, b.call("/nowhere/1", key, false).Outcome.Reason)
+}
+
 // Guards against requests that a starting instance refuses although it could serve them shortly after. A restart of all instances
 // of a large deployment refused 3,700 requests because there was no configuration or no table of key ranges yet.
 func TestRequestsWaitForTheViewsOfANewInstance(t *testing.T) {
