Pass OPTIONS * to the router

Change: the general handler of the library is disabled; the router refuses the request as an unknown route.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -111,7 +111,10 @@
 		s.admitted = metrics.GetOrRegisterGauge(o.Name+".connections_admitted", o.Registry)
 	}
 	s.http = &http.Server{
-		Handler:           http.HandlerFunc(s.handle),
+		Handler: http.HandlerFunc(s.handle),
+		// Otherwise net/http answers OPTIONS * with a success that no backend gave.
+		DisableGeneralOptionsHandler: true,
+
 		ReadHeaderTimeout: o.ReadHeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		ErrorLog:          log.New(problemWriter{o.Log}, "", 0),
