--- a/internal/service/members/encode.go
+++ b/internal/service/members/encode.go
@@ -60,13 +60,13 @@
 func (s *Service) withStoreUpdate(m *fleetpb.Heartbeat) *fleetpb.Heartbeat {
 	local := s.storeSync.LocalUpdate()
 	zoneMessage := proto.CloneOf(m)
-	zoneMessage.NewsRead, zoneMessage.NewsChanged, zoneMessage.NewsOperator = local.EntriesOffset, local.LastChangeOffset, local.OperatorOffset
-	zoneMessage.NewsAgeMs, zoneMessage.NewsOperatorAgeMs = uint32(local.Age.Milliseconds()), uint32(local.OperatorAge.Milliseconds())
+	zoneMessage.EntriesOffset, zoneMessage.LastChangeOffset, zoneMessage.OperatorOffset = local.EntriesOffset, local.LastChangeOffset, local.OperatorOffset
+	zoneMessage.EntriesAgeMs, zoneMessage.OperatorAgeMs = uint32(local.Age.Milliseconds()), uint32(local.OperatorAge.Milliseconds())
 	for _, b := range local.Batches {
-		zoneMessage.News = append(zoneMessage.News, &fleetpb.NewsBatch{After: b.After, UpTo: b.UpTo, Records: b.Records})
+		zoneMessage.EntryBatches = append(zoneMessage.EntryBatches, &fleetpb.RecordBatch{After: b.After, UpTo: b.UpTo, Records: b.Records})
 	}
 	for _, b := range local.OperatorBatches {
-		zoneMessage.OperatorNews = append(zoneMessage.OperatorNews, &fleetpb.NewsBatch{After: b.After, UpTo: b.UpTo, Records: b.Records})
+		zoneMessage.OperatorBatches = append(zoneMessage.OperatorBatches, &fleetpb.RecordBatch{After: b.After, UpTo: b.UpTo, Records: b.Records})
 	}
 	return zoneMessage
 }
@@ -74,13 +74,13 @@
 // storeUpdateOf returns the store update in a heartbeat.
 func storeUpdateOf(m *fleetpb.Heartbeat) storesync.Update {
 	update := storesync.Update{
-		EntriesOffset: m.NewsRead, LastChangeOffset: m.NewsChanged, OperatorOffset: m.NewsOperator,
-		Age: time.Duration(m.NewsAgeMs) * time.Millisecond, OperatorAge: time.Duration(m.NewsOperatorAgeMs) * time.Millisecond,
+		EntriesOffset: m.EntriesOffset, LastChangeOffset: m.LastChangeOffset, OperatorOffset: m.OperatorOffset,
+		Age: time.Duration(m.EntriesAgeMs) * time.Millisecond, OperatorAge: time.Duration(m.OperatorAgeMs) * time.Millisecond,
 	}
-	for _, b := range m.News {
+	for _, b := range m.EntryBatches {
 		update.Batches = append(update.Batches, storesync.Batch{After: b.After, UpTo: b.UpTo, Records: b.Records})
 	}
-	for _, b := range m.OperatorNews {
+	for _, b := range m.OperatorBatches {
 		update.OperatorBatches = append(update.OperatorBatches, storesync.Batch{After: b.After, UpTo: b.UpTo, Records: b.Records})
 	}
 	return update
--- a/internal/service/members/members_test.go
+++ b/internal/service/members/members_test.go
@@ -111,16 +111,16 @@
 func TestStoreUpdatesAreSentInLargeZones(t *testing.T) {
 	message := &fleetpb.Heartbeat{Sequence: 4}
 	s := newMembers(sharedReads)
-	require.Empty(t, s.zoneHeartbeat(message).News, "peers use only the update of the zone reader")
+	require.Empty(t, s.zoneHeartbeat(message).EntryBatches, "peers use only the update of the zone reader")
 	s.reader = s.instance.ID
 	sent := s.zoneHeartbeat(message)
 	require.Equal(t, uint64(4), sent.Sequence)
 	received := storeUpdateOf(sent)
 	require.Equal(t, staticStoreSync{}.LocalUpdate(), received)
-	require.Empty(t, message.News, "the heartbeat to other zones carries none")
+	require.Empty(t, message.EntryBatches, "the heartbeat to other zones carries none")
 	small := newMembers(sharedReads - 1)
 	small.reader = small.instance.ID
-	require.Empty(t, small.zoneHeartbeat(message).News)
+	require.Empty(t, small.zoneHeartbeat(message).EntryBatches)
 }
 
 // Guards against a customer that exceeds its rate while a zone is isolated: both sides of the partition used the full rate for
--- a/internal/service/members/receive.go
+++ b/internal/service/members/receive.go
@@ -73,7 +73,7 @@
 	if p.at == 0 {
 		s.fullUntil = t.Now() + fullReports
 	}
-	news := p.at == 0 || p.unresponsive || p.leaving != m.message.Leaving
+	changed := p.at == 0 || p.unresponsive || p.leaving != m.message.Leaving
 	if p.at == 0 || p.unresponsive {
 		telemetry.EventMemberReachable.Log(s.log, zap.String("peer", string(p.id)), zap.String("zone", string(p.zone)),
 			zap.String("address", p.address.String()))
@@ -90,14 +90,14 @@
 		StoreReachable: m.message.StoreReachable, Leaving: m.message.Leaving, GrantedFences: m.message.HeldFences,
 		Refusing: m.message.Refusing, Cores: p.cores, At: t.Now(), Change: s.tableChange(m.message),
 	})
-	if news { // the age of the others' heartbeats is published at each interval
+	if changed { // the age of the others' heartbeats is published at each interval
 		s.publish(t.Now())
 	}
 }
 
 // receiveStoreUpdate applies the store update of the zone reader. Heartbeats that are broadcast between the intervals carry none.
 func (s *Service) receiveStoreUpdate(p *peer, m *fleetpb.Heartbeat, now time.Duration) {
-	if m.NewsRead > 0 && s.reachableInZone >= sharedReads && p.id == s.reader {
+	if m.EntriesOffset > 0 && s.reachableInZone >= sharedReads && p.id == s.reader {
 		s.storeSync.ReceiveUpdate(storeUpdateOf(m), now)
 	}
 }
