--- a/internal/service/keys/claim.go
+++ b/internal/service/keys/claim.go
@@ -121,7 +121,7 @@
 // writeTable replaces the table in the store if its version is still the current one here.
 func (s *Service) writeTable(t *kernel.Turn, state *keyrange.State) {
 	raw, err := fleetpb.EncodeState(state)
-	if err != nil {
+	if err != nil { // no input leads here: names that cannot be encoded are refused where entries and configurations are decoded
 		t.InvariantViolated(err)
 		return
 	}
